--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -1,6 +1,6 @@
 """The dialling side of HTTP/1.1: pooled connections to one upstream."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import h11
 import trio
@@ -11,6 +11,11 @@
 from mangospoke.streams import Stream, open_stream
 from mangospoke.verdicts import Headers
 
+_SENT_FIRST_BYTES = 16_384
+"""Bodies up to this size are sent before the answer is read."""
+
+_ANY_HOST = [(b"host", b"any")]
+
 
 class ConnectError(Exception):
     """No connection could be made: no byte was sent."""
@@ -32,13 +37,19 @@
     """The bytes received are no HTTP answer."""
 
 
+_ANSWER_ERRORS = (AnswerMissingError, AnswerTruncatedError, AnswerMalformedError)
+
+
 class HttpConnection:
     """One connection to an upstream, for one request at a time."""
 
     def __init__(self, stream: Stream, head_bytes: int) -> None:
         self._stream = stream
+        self._head_bytes = head_bytes
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_bytes)
         self._closed = False
+        self._is_sending = False
+        self._ended = False
 
     async def exchange(
         self,
@@ -47,6 +58,7 @@
         headers: Headers,
         body: Body,
         buffered_body_bytes: int,
+        is_own: Callable[[HttpAnswer], bool] = lambda answer: True,
     ) -> HttpAnswer:
         """Sends a request and reads its answer.
 
@@ -56,6 +68,8 @@
             headers: Header fields, without those that frame the body.
             body: The request's body.
             buffered_body_bytes: Answers up to this size are read whole.
+            is_own: Whether an answer belongs to this request. One that doesn't is
+                passed over, if it is whole: it came late for an earlier request.
 
         Raises:
             AnswerMissingError: If the connection ended before the answer's head.
@@ -63,13 +77,77 @@
             AnswerMalformedError: If the upstream broke the protocol.
             RequestBrokenError: If the request's streamed body broke.
         """
-        await self._send(method, target, headers, body)
+        if body.length is not None and body.length <= _SENT_FIRST_BYTES:
+            await self._send(method, target, headers, body)
+            return await self._read_matching(method, buffered_body_bytes, is_own)
+        return await self._exchange_beside(
+            method, target, headers, body, buffered_body_bytes, is_own
+        )
+
+    async def _exchange_beside(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: Body,
+        buffered_body_bytes: int,
+        is_own: Callable[[HttpAnswer], bool],
+    ) -> HttpAnswer:
+        """Reads while it sends, since an answer may come before the body is taken."""
+        errors: list[Exception] = []
+        answer: HttpAnswer | None = None
+        async with trio.open_nursery() as nursery:
+
+            async def send() -> None:
+                try:
+                    await self._send(method, target, headers, body)
+                    self._is_sending = False
+                except RequestBrokenError as error:
+                    errors.append(error)
+                    nursery.cancel_scope.cancel()
+
+            self._is_sending = True
+            nursery.start_soon(send)
+            try:
+                answer = await self._read_matching(method, buffered_body_bytes, is_own)
+            except _ANSWER_ERRORS as error:
+                errors.append(error)
+            nursery.cancel_scope.cancel()
+        if errors:
+            raise errors[0]
+        assert answer is not None
+        return answer
+
+    async def _read_matching(
+        self,
+        method: bytes,
+        buffered_body_bytes: int,
+        is_own: Callable[[HttpAnswer], bool],
+    ) -> HttpAnswer:
         answer = await self._read_answer(buffered_body_bytes)
+        while not is_own(answer) and self._skip_answer(method, answer):
+            answer = await self._read_answer(buffered_body_bytes)
         if method == b"HEAD":
             # The length is that of the body which a GET would bring.
             answer.body.length = _content_length(answer.headers)
         return answer
 
+    def _skip_answer(self, method: bytes, answer: HttpAnswer) -> bool:
+        """Goes on after an answer to an earlier request, if the connection can."""
+        http = self._http
+        is_whole = answer.body.content is not None
+        if self._is_sending or not is_whole or http.their_state is not h11.DONE:
+            return False
+        received, _ = http.trailing_data
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._head_bytes
+        )
+        # The request itself is out already: this only says that an answer is due.
+        self._http.send(h11.Request(method=method, target=b"/", headers=_ANY_HOST))
+        self._http.send(h11.EndOfMessage())
+        self._http.receive_data(received)
+        return True
+
     async def _send(
         self, method: bytes, target: bytes, headers: Headers, body: Body
     ) -> None:
@@ -102,16 +180,23 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
+                if self._ended:
+                    raise AnswerMissingError(str(error)) from error
                 raise AnswerMalformedError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                content = await self._stream.receive_some()
-            except trio.BrokenResourceError:
-                content = b""
-            if not content:
-                raise AnswerMissingError("the upstream closed the connection")
-            self._http.receive_data(content)
+            await self._receive()
+
+    async def _receive(self) -> None:
+        if self._ended:
+            raise AnswerMissingError("the upstream closed the connection")
+        try:
+            content = await self._stream.receive_some()
+        except trio.BrokenResourceError as error:
+            # An answer without a length ends with its connection, but not so.
+            raise AnswerMissingError("the upstream reset the connection") from error
+        self._ended = not content
+        self._http.receive_data(content)
 
     async def _read_answer(self, buffered_body_bytes: int) -> HttpAnswer:
         head = await self._next_event()
@@ -161,8 +246,12 @@
     def is_reusable(self) -> bool:
         """Whether the connection has ended one exchange and can start another."""
         http = self._http
+        if self._is_sending or self._ended:
+            return False
         if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
             return False
+        if http.trailing_data[0]:
+            return False
         http.start_next_cycle()
         return True
 
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -22,6 +22,11 @@
 _BODY_TOO_LARGE_STATUS = 413
 _REQUEST_TIMEOUT_STATUS = 408
 
+_PIPELINED_REQUESTS = 16
+"""Requests of one connection in progress at once; further ones stay unread."""
+
+_SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
+
 _LINGER_S = 2.0
 """Time for which a caller that still sends is listened to after its answer."""
 
@@ -43,14 +48,25 @@
 
 
 class _Connection:
-    """State of one caller's connection."""
+    """State of one caller's connection while one request is read and answered.
 
-    def __init__(self, stream: Stream, limits: Limits) -> None:
+    A caller may send further requests before the first is answered, so that each
+    request has an h11 connection of its own, which starts with the bytes that its
+    predecessor left.
+    """
+
+    def __init__(self, stream: Stream, limits: Limits, received: bytes = b"") -> None:
         self.stream = stream
         self.limits = limits
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
+        if received:
+            self.http.receive_data(received)
+
+    def next(self) -> "_Connection":
+        """The connection for the request after this one, which has been read."""
+        return _Connection(self.stream, self.limits, self.http.trailing_data[0])
 
     async def next_event(self, deadline: float) -> object:
         """Returns the next h11 event.
@@ -109,7 +125,7 @@
 
     Attributes:
         work: Counts requests in progress, for a planned stop.
-        hang_ups: Cancels requests whose callers hung up.
+        hang_ups: Cancels what peers forwarded and gave up.
     """
 
     limits: Limits
@@ -125,58 +141,161 @@
     A caller that closes its sending side is taken to have hung up: its request is
     cancelled, which TCP can't tell from a half-closed connection.
     """
-    connection = _Connection(Stream(stream), context.limits)
+    session = _Session(Stream(stream), handler, context)
     try:
-        await _serve_requests(connection, handler, context)
-        await _linger(connection)
-    except (_CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
+        await session.serve()
+        if session.lingers:
+            await _linger(session.stream)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
         return
     finally:
-        connection.stream.close()
+        session.stream.close()
 
 
-async def _serve_requests(
-    connection: _Connection, handler: Handler, context: ConnectionContext
-) -> None:
-    try:
-        while await _serve_request(connection, handler, context):
-            connection.http.start_next_cycle()
-    except _BadRequestError as error:
+class _Turn:
+    """A request's turn to be answered on its connection.
+
+    Attributes:
+        ended: Set once the answer is written, so that the next one may be.
+        previous: The turn before it, while that has not ended.
+    """
+
+    __slots__ = ("ended", "previous")
+
+    def __init__(self, previous: "_Turn | None") -> None:
+        self.ended = trio.Event()
+        self.previous = previous
+
+    async def wait(self) -> None:
+        """Waits until the answer may be written."""
+        if self.previous is not None:
+            await self.previous.ended.wait()
+            self.previous = None
+
+    def count_waiting(self) -> int:
+        """How many turns before this one have not ended."""
+        count = 0
+        turn = self.previous
+        while turn is not None and not turn.ended.is_set():
+            count += 1
+            turn = turn.previous
+        return count
+
+
+class _Session:
+    """One caller's connection: its requests in progress, answered in order.
+
+    Reading goes on while requests are in progress, which also shows at once that
+    the caller hung up.
+
+    Attributes:
+        lingers: Whether the caller may still be sending when the last answer is out.
+    """
+
+    def __init__(
+        self, stream: Stream, handler: Handler, context: ConnectionContext
+    ) -> None:
+        self.stream = stream
+        self.lingers = False
+        self._handler = handler
+        self._context = context
+        self._last_turn: _Turn | None = None
+        self._all_safe = True
+
+    async def serve(self) -> None:
+        """Serves requests until either side ends the connection."""
+        connection = _Connection(self.stream, self._context.limits)
+        async with trio.open_nursery() as nursery:
+            try:
+                while await self._start_request(connection, nursery):
+                    connection = connection.next()
+            except _BadRequestError as error:
+                await self._reject(connection, error)
+            except (
+                _CallerGoneError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ):
+                nursery.cancel_scope.cancel()
+
+    async def _start_request(
+        self, connection: _Connection, nursery: trio.Nursery
+    ) -> bool:
+        """Reads a request, starts it, and returns whether to read another."""
+        request = await _read_request(connection, self._last_turn)
+        if request is None:
+            raise _CallerGoneError
+        await self._wait_for_order(request)
+        turn = self._last_turn = _Turn(self._last_turn)
+        nursery.start_soon(
+            self._serve_request, connection, request, turn, nursery.cancel_scope
+        )
+        is_last = connection.http.their_state is not h11.DONE
+        is_busy = turn.count_waiting() >= _PIPELINED_REQUESTS
+        if is_last or is_busy:
+            await self._wait_ended(turn)
+        return connection.http.their_state is h11.DONE
+
+    async def _wait_for_order(self, request: HttpRequest) -> None:
+        """Lets requests run beside each other only if their methods are safe."""
+        is_safe = request.method in _SAFE_METHODS
+        may_overlap = is_safe and self._all_safe
+        self._all_safe = is_safe
+        turn = self._last_turn
+        if turn is not None and not may_overlap and not turn.ended.is_set():
+            await self._wait_ended(turn)
+
+    async def _wait_ended(self, turn: _Turn) -> None:
+        """Waits for a request to end, without reading on."""
+        with self._context.hang_ups.watch(self.stream):
+            await turn.ended.wait()
+            return
+        raise _CallerGoneError
+
+    async def _serve_request(
+        self,
+        connection: _Connection,
+        request: HttpRequest,
+        turn: _Turn,
+        scope: trio.CancelScope,
+    ) -> None:
+        """Serves one request; ends the connection if no other can follow."""
+        try:
+            with self._context.work:
+                answer = await _handle(self._handler, request)
+                async with answer.body:
+                    await turn.wait()
+                    await _write_answer(connection, answer, request.method)
+        except (_CallerGoneError, trio.BrokenResourceError, trio.ClosedResourceError):
+            scope.cancel()
+            return
+        http = connection.http
+        if http.our_state is h11.DONE and http.their_state is h11.DONE:
+            turn.ended.set()
+            return
+        # Later turns never come: what they ask counts as unread.
+        self.lingers = http.our_state is not h11.ERROR
+        scope.cancel()
+
+    async def _reject(self, connection: _Connection, error: _BadRequestError) -> None:
+        if self._last_turn is not None:
+            await self._last_turn.ended.wait()
         await _answer_bad_request(connection, error)
+        self.lingers = True
 
 
-async def _linger(connection: _Connection) -> None:
+async def _linger(stream: Stream) -> None:
     """Lets a caller that is still sending read its answer before the close.
 
     A close with unread input resets the connection, which can take an answer away
     that the caller has not read yet.
     """
-    http = connection.http
-    answered = http.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
-    if not answered or http.their_state in (h11.DONE, h11.CLOSED, h11.MUST_CLOSE):
-        return
-    await connection.stream.send_eof()
+    await stream.send_eof()
     with trio.move_on_after(_LINGER_S):
-        while await connection.stream.receive_some():
+        while await stream.receive_some():
             pass
 
 
-async def _serve_request(
-    connection: _Connection, handler: Handler, context: ConnectionContext
-) -> bool:
-    """Serves one request and returns whether the connection can serve another."""
-    request = await _read_request(connection)
-    if request is None:
-        return False
-    with context.work, context.hang_ups.watch(connection.stream):
-        answer = await _handle(handler, request)
-        async with answer.body:
-            await _write_answer(connection, answer, request.method)
-        http = connection.http
-        return http.our_state is h11.DONE and http.their_state is h11.DONE
-    return False
-
-
 async def _handle(handler: Handler, request: HttpRequest) -> HttpAnswer:
     """Runs the handler; a fault of ours still gives the caller a true answer."""
     try:
@@ -191,9 +310,11 @@
     return HttpAnswer(500, headers, whole_body(b"internal error\n"), closes=True)
 
 
-async def _read_request(connection: _Connection) -> HttpRequest | None:
+async def _read_request(
+    connection: _Connection, turn: _Turn | None
+) -> HttpRequest | None:
     if not connection.http.trailing_data[0]:
-        content = await _wait_first_byte(connection)
+        content = await _wait_first_byte(connection, turn)
         if not content:
             return None
         connection.http.receive_data(content)
@@ -215,10 +336,13 @@
         raise _BadRequestError(_HEAD_TOO_LARGE_STATUS, "the head is too large")
 
 
-async def _wait_first_byte(connection: _Connection) -> bytes:
-    with trio.move_on_after(connection.limits.idle_timeout_ms / 1000):
-        return await connection.stream.receive_some()
-    return b""
+async def _wait_first_byte(connection: _Connection, turn: _Turn | None) -> bytes:
+    """Waits for the next request; the idle time starts once all are answered."""
+    while True:
+        with trio.move_on_after(connection.limits.idle_timeout_ms / 1000):
+            return await connection.stream.receive_some()
+        if turn is None or turn.ended.is_set():
+            return b""
 
 
 async def _read_body(connection: _Connection, head: h11.Request) -> Body:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,6 +1,7 @@
 """One connection of the accepting side, with handlers of the test's own."""
 
 import trio
+import trio.testing
 
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
@@ -80,3 +81,75 @@
     received = await exchange(handler, GET.replace(b"GET", b"HEAD"))
     assert b"content-length: 5" in received
     assert received.endswith(b"\r\n\r\n")
+
+
+def get(path):
+    return b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def post(path):
+    return b"POST " + path + b" HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+
+
+class Handler:
+    """Answers `/slow` later than all others, and the last request with a close."""
+
+    def __init__(self, last):
+        self.log = []
+        self._last = last
+
+    async def __call__(self, request):
+        self.log.append(f"start {request.path}")
+        if request.path == "/slow":
+            await trio.sleep(0.05)
+        self.log.append(f"end {request.path}")
+        is_last = request.path == self._last
+        return HttpAnswer(200, [], whole_body(request.target), closes=is_last)
+
+
+async def test_pipelined_requests_run_beside_each_other_and_are_answered_in_order():
+    handler = Handler(last="/last")
+    received = await exchange(handler, get(b"/slow") + get(b"/fast") + get(b"/last"))
+    assert handler.log.index("end /fast") < handler.log.index("end /slow")
+    positions = [received.index(path) for path in (b"/slow", b"/fast", b"/last")]
+    assert positions == sorted(positions)
+
+
+async def test_a_request_that_changes_something_waits_for_those_before_it():
+    handler = Handler(last="/last")
+    received = await exchange(handler, get(b"/slow") + post(b"/change") + get(b"/last"))
+    assert handler.log == [
+        "start /slow",
+        "end /slow",
+        "start /change",
+        "end /change",
+        "start /last",
+        "end /last",
+    ]
+    assert received.count(b"HTTP/1.1 200") == 3
+
+
+async def test_requests_behind_an_answer_that_closes_are_not_answered():
+    handler = Handler(last="/slow")
+    received = await exchange(handler, get(b"/slow") + get(b"/fast"))
+    assert received.count(b"HTTP/1.1 200") == 1
+    assert received.endswith(b"/slow")
+
+
+async def test_a_caller_that_hangs_up_cancels_all_its_requests():
+    cancelled = []
+
+    async def handler(request):
+        try:
+            await trio.sleep_forever()
+        finally:
+            cancelled.append(request.path)
+
+    near, far = trio.socket.socketpair()
+    context = ConnectionContext(Limits(), WorkCounter(), HangUpMonitor())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_connection, trio.SocketStream(far), handler, context)
+        async with trio.SocketStream(near) as stream:
+            await stream.send_all(get(b"/a") + get(b"/b"))
+            await trio.testing.wait_all_tasks_blocked(0.02)
+    assert sorted(cancelled) == ["/a", "/b"]
