--- a/mangospoke/announcements.py
+++ b/mangospoke/announcements.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from mangospoke.ids import ServiceName
+from mangospoke.ids import InstanceId, ServiceName
 
 
 class Announcement(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -15,6 +15,10 @@
         connections: Connections that it accepts.
         health_path: Path that answers 200 while it is healthy; a hint only.
         load_path: Path that answers a `LoadReport`; a hint only.
+        instance: Name of this start of the upstream, if it gives one; requests then
+            say which instance they are meant for.
+        cold_left_ms: Milliseconds for which it is slow yet; None for the service's
+            declared time.
     """
 
     service: ServiceName
@@ -23,6 +27,8 @@
     connections: int
     health_path: str = "/health"
     load_path: str = "/load"
+    instance: InstanceId | None = None
+    cold_left_ms: int | None = None
 
 
 class LoadReport(Struct, frozen=True):
--- a/mangospoke/conf/declarations.py
+++ b/mangospoke/conf/declarations.py
@@ -46,10 +46,15 @@
 
 
 class Access(enum.Enum):
-    """Who may use a route."""
+    """Who may use a route.
+
+    `OPEN` is for callers that carry a key, `KEYLESS` for everybody, and `INTERNAL`
+    for the calls that upstreams make.
+    """
 
     OPEN = "open"
     INTERNAL = "internal"
+    KEYLESS = "keyless"
 
 
 class Declaration(
--- a/mangospoke/conf/effective.py
+++ b/mangospoke/conf/effective.py
@@ -19,7 +19,7 @@
     Service,
     ServiceOverlay,
 )
-from mangospoke.conf.routes import RouteTable
+from mangospoke.conf.routes import HostRoutes, RouteTable
 from mangospoke.conf.sections import Sections, join_base, join_overlay
 from mangospoke.ids import (
     ClientAccountId,
@@ -32,9 +32,25 @@
 from mangospoke.keys import KeyHash, parse_hash
 
 
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """A service that takes a share of a route's requests."""
+
+    service: ServiceName
+    weight: int
+
+
 @dataclass(frozen=True, slots=True)
 class EffectiveRoute:
-    """A route with the site's overlay applied."""
+    """A route with the site's overlay applied.
+
+    Attributes:
+        method: Empty if the route takes any method.
+        retries: Upstreams beyond the first that a request may be sent to.
+        target_latency_s: Time within which an answer is worth most, or None.
+        backends: Services that share the requests by weight; empty if `service`
+            takes them all.
+    """
 
     service: ServiceName
     name: RouteName
@@ -45,6 +61,8 @@
     idempotent: bool
     deadline_s: float
     retries: int
+    target_latency_s: float | None = None
+    backends: tuple[Backend, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,10 +79,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EffectiveKey:
-    """A key that works or has been withdrawn at the site."""
+    """A key that works or has been withdrawn at the site.
+
+    Attributes:
+        key_hash: None where the key's id is itself a digest of the whole key.
+    """
 
     account_id: ClientAccountId
-    key_hash: KeyHash
+    key_hash: KeyHash | None
     withdrawn: bool
 
 
@@ -73,8 +95,9 @@
     """A client account.
 
     Attributes:
-        rate: Requests a second over the whole fleet.
+        rate: Requests a second over the whole fleet; 0 if they aren't limited.
         site_rate: Lower rate for requests that enter at this site, or None.
+        importance: Of all the account's requests, in place of the routes'; or None.
     """
 
     account_id: ClientAccountId
@@ -84,6 +107,7 @@
     domain_weights: dict[FailureDomainId, int]
     site_rate: int | None
     site_burst: int | None
+    importance: Importance | None = None
 
 
 @dataclass(slots=True)
@@ -92,6 +116,7 @@
 
     version: int = 0
     routes: "RouteTable[EffectiveRoute]" = field(default_factory=RouteTable)
+    host_routes: "HostRoutes[EffectiveRoute]" = field(default_factory=HostRoutes)
     services_by_name: dict[ServiceName, EffectiveService] = field(default_factory=dict)
     accounts_by_id: dict[ClientAccountId, EffectiveAccount] = field(
         default_factory=dict
--- a/mangospoke/conf/routes.py
+++ b/mangospoke/conf/routes.py
@@ -1,4 +1,4 @@
-"""Matching of a request's method and path to a route."""
+"""Matching of a request's method and path, or host and path, to a route."""
 
 import enum
 from typing import Generic, TypeVar
@@ -55,6 +55,41 @@
         return _descend(self._root, segments, 0, method)
 
 
+class HostRoutes(Generic[RouteType]):
+    """Routes by host name and path prefix; the longest prefix goes first."""
+
+    def __init__(self) -> None:
+        self._by_prefix_by_host: dict[str, dict[str, RouteType]] = {}
+
+    def add(self, host: str, prefix: str, route: RouteType) -> None:
+        """Adds a route.
+
+        Args:
+            host: The host name.
+            prefix: A path that begins and ends with a slash.
+            route: The route.
+        """
+        self._by_prefix_by_host.setdefault(host.lower(), {})[prefix] = route
+
+    def match(self, host: str, path: str) -> RouteType | None:
+        """Finds the route of a request.
+
+        Args:
+            host: The request's host name, with or without a port.
+            path: The request's path, without its query.
+        """
+        name = host.partition(":")[0].lower()
+        by_prefix = self._by_prefix_by_host.get(name)
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
 def _child(node: _Node[RouteType], segment: str) -> _Node[RouteType]:
     if segment.startswith("{") and segment.endswith("}"):
         if node.any_segment is None:
--- a/mangospoke/control/messages.py
+++ b/mangospoke/control/messages.py
@@ -107,6 +107,31 @@
     busy: bool = False
 
 
+class AskConfiguration(Message, frozen=True, tag="ask-configuration"):
+    """Asks a host how fresh its configuration is.
+
+    Attributes:
+        version: The asker's version.
+    """
+
+    version: int
+
+
+class ConfigurationTold(Message, frozen=True, tag="configuration-told"):
+    """A host's configuration and its age.
+
+    Attributes:
+        age_ms: Milliseconds since this version was last known to be the newest;
+            negative if it never was.
+        content: The configuration as the log service has it, if it is newer than
+            the asker's.
+    """
+
+    version: int
+    age_ms: float
+    content: bytes | None = None
+
+
 class ShareMembership(Message, frozen=True, tag="share-membership"):
     """Membership records that the log service hasn't taken yet.
 
--- /dev/null
+++ b/mangospoke/daemon/hosted.py
@@ -0,0 +1,325 @@
+"""A daemon that a platform hosts: its parts, its tasks and its planned stop.
+
+It makes the same decisions as any daemon. What differs is where it learns from: the
+platform's keyed topics hold configuration and hosts, so that no streams are folded.
+"""
+
+import random
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from loguru import logger
+
+from mangospoke.conf.effective import EffectiveConfiguration
+from mangospoke.conf.settings import Settings
+from mangospoke.control.transport import ControlPlane, cap_threads
+from mangospoke.daemon.hosting import Hosting
+from mangospoke.daemon.supervision import Service, supervise, tame_garbage_collector
+from mangospoke.guard.dialect import UpstreamDialect
+from mangospoke.guard.guard import Guard
+from mangospoke.guard.poison import PoisonControl
+from mangospoke.hangups import HangUpMonitor
+from mangospoke.http.bodies import whole_body
+from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
+from mangospoke.http.messages import HttpAnswer, HttpRequest
+from mangospoke.http.server import ConnectionContext, Handler, serve_connection
+from mangospoke.idle import WorkCounter
+from mangospoke.ids import HostId, Incarnation
+from mangospoke.ingress.dialect import CallerDialect
+from mangospoke.ingress.dispatch import Dispatcher
+from mangospoke.ingress.hosted import HostedEntrance
+from mangospoke.logservice.keyed import KeyedFollower, KeyedLog
+from mangospoke.observability.decisions import DecisionLog
+from mangospoke.observability.logs import configure_logs
+from mangospoke.observability.overload import OverloadWatch
+from mangospoke.peers.client import PeerPool
+from mangospoke.peers.handshake import Identity
+from mangospoke.peers.server import serve_peer
+from mangospoke.rates.borrowing import BorrowedRates
+from mangospoke.rates.lending import Excess, LendingShares
+from mangospoke.rates.timing import read_clock
+from mangospoke.routing.balancer import Balancer
+from mangospoke.routing.ejection import Ejector
+from mangospoke.routing.probing import probe_ejected
+from mangospoke.routing.retries import SharedRetryBudgets
+from mangospoke.state.configuration_source import ConfigurationSource
+from mangospoke.state.fleet import Fleet
+from mangospoke.state.freshness import Freshness, read_boot_clock
+from mangospoke.state.registrar import Heartbeat, HostDirectory, HostRegistrar
+
+_CONNECTIONS = 1_500
+"""Connections accepted at one address."""
+
+_FRESHNESS_SHARE = 0.88
+"""Part of the time for a withdrawal in which a host may go without a proof."""
+
+_EXCESS_SHARE = 0.9
+"""Part of the allowed excess of rates that is used, for hosts not known yet."""
+
+_RESENDS_SHARE = 0.25
+"""Part of the fleet's resends that is used: each makes its calls again too."""
+
+_REPLACEMENTS = 2
+_DRAIN_NOTICE_SHARE = 0.35
+"""Part of the time for a drain in which work is still taken."""
+
+_CONFIGURATION_WAIT_MS = 1_000
+_HOSTS_WAIT_MS = 10_000
+_STOP_NOTICE_S = 2.2
+"""Time in which the platform notices that the host isn't ready any more."""
+
+_STOP_MARGIN_S = 0.7
+_LAST_REQUESTS_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """What a platform's adapter brings: its log and its formats.
+
+    Attributes:
+        configuration_topic: Keyed topic that holds the configuration.
+        configuration_key: The configuration's key in it.
+        hosts_topic: Keyed topic for the hosts' records.
+        read_configuration: Reads a configuration; None if it can't be used.
+        heartbeat_handler: Makes the handler of the upstream's heartbeats.
+    """
+
+    log: KeyedLog
+    configuration_topic: str
+    configuration_key: str
+    hosts_topic: str
+    read_configuration: Callable[[bytes], EffectiveConfiguration | None]
+    caller_dialect: CallerDialect
+    upstream_dialect: UpstreamDialect
+    heartbeat_handler: Callable[[Callable[[Heartbeat], bool]], Handler]
+
+
+class HostedDaemon:
+    """A hosted daemon's parts."""
+
+    def __init__(self, hosting: Hosting, platform: Platform) -> None:
+        settings = hosting.settings
+        promises = hosting.promises
+        domain = settings.host.failure_domain
+        incarnation = Incarnation(time.time_ns() // 1_000_000)
+        self.hosting = hosting
+        self.settings: Settings = settings
+        self.fleet = Fleet(settings.host.site)
+        self.directory = HostDirectory(self.fleet)
+        self.freshness = Freshness(promises.withdrawal_s * _FRESHNESS_SHARE)
+        self.overload = OverloadWatch()
+        self.decisions = DecisionLog(self.overload)
+        self.guard = Guard(
+            self.fleet,
+            settings.limits,
+            self.decisions,
+            platform.upstream_dialect,
+            promises.drain_s * _DRAIN_NOTICE_SHARE,
+        )
+        self.registrar = HostRegistrar(
+            settings,
+            incarnation,
+            hosting.upstream_service,
+            self.guard,
+            platform.log,
+            platform.hosts_topic,
+        )
+        self.control = ControlPlane(settings.fleet.secret)
+        self.poison = PoisonControl(
+            settings.host.id, self.fleet, self.control, self.guard.accepts_connections
+        )
+        self.guard.poison = self.poison
+        self.ejector = Ejector()
+        balancer = Balancer(
+            self.fleet,
+            settings.host.id,
+            domain,
+            self.ejector,
+            self.guard.load,
+            random.Random(),
+        )
+        self.identity = Identity(
+            settings.host.id, domain, incarnation, settings.fleet.secret
+        )
+        self.peers = PeerPool(
+            self.identity, {}, balancer.observe, balancer.observe_transit
+        )
+        resends = promises.resends
+        dispatcher = Dispatcher(
+            settings.host.id,
+            self.guard.execute,
+            self.peers,
+            balancer,
+            self.ejector,
+            self.decisions,
+            SharedRetryBudgets(
+                resends.slack * _RESENDS_SHARE, resends.window_s, self._count_hosts
+            ),
+            _REPLACEMENTS,
+        )
+        self.rates = BorrowedRates(
+            settings.host.id, self.fleet, self.control, self._open_shares()
+        )
+        self.entrance = HostedEntrance(
+            self.fleet,
+            self.freshness,
+            platform.caller_dialect,
+            hosting.upstream_service,
+            self.rates.admit,
+            dispatcher,
+            self.decisions,
+        )
+        self.handle_heartbeat = platform.heartbeat_handler(self.registrar.take)
+        self.connections = ConnectionContext(
+            settings.limits, WorkCounter(), HangUpMonitor()
+        )
+        self.configuration = ConfigurationSource(
+            settings.host.id,
+            self.fleet,
+            self.freshness,
+            self.control,
+            platform.configuration_key,
+            platform.read_configuration,
+        )
+        self.configuration_follower = KeyedFollower(
+            platform.log,
+            platform.configuration_topic,
+            self.configuration.take,
+            _CONFIGURATION_WAIT_MS,
+            read_boot_clock,
+            self.configuration.prove,
+        )
+        self.hosts_follower = KeyedFollower(
+            platform.log, platform.hosts_topic, self.directory.take, _HOSTS_WAIT_MS
+        )
+
+    def _count_hosts(self) -> int:
+        return len(self.directory)
+
+    def _open_shares(self) -> LendingShares:
+        rates = self.hosting.promises.rates
+        excess = Excess(
+            rates.excess_share * _EXCESS_SHARE, rates.excess_requests * _EXCESS_SHARE
+        )
+        return LendingShares(
+            self._count_hosts, excess, self.hosting.fleet_starts, read_clock()
+        )
+
+    async def answer_readiness(self, request: HttpRequest) -> HttpAnswer:
+        """Says whether callers may be sent to this host."""
+        is_ready = (
+            not self.registrar.stopping
+            and self.fleet.configuration.version > 0
+            and self.freshness.is_fresh()
+        )
+        headers = [(b"content-type", b"text/plain")]
+        text = b"ready\n" if is_ready else b"not ready\n"
+        return HttpAnswer(200 if is_ready else 503, headers, whole_body(text))
+
+    async def is_alive(self, host_id: HostId) -> bool:
+        """Whether another host's daemon can be reached."""
+        upstream = self.fleet.upstreams_by_host.get(host_id)
+        return upstream is not None and await self.peers.reach(upstream.peer_address)
+
+    def services_by_name(self) -> dict[str, Service]:
+        """What the supervisor runs."""
+        return {
+            "configuration": self.configuration_follower.run,
+            "configuration of peers": self.configuration.run,
+            "rates": self.rates.run,
+            "hosts": self.hosts_follower.run,
+            "registrar": self.registrar.run,
+            "hang-up monitor": self.connections.hang_ups.run,
+            "decision log": self.decisions.run,
+            "peer connections": self.peers.run,
+            "prober": lambda: probe_ejected(self.ejector, self.is_alive),
+            "overload": self.overload.run,
+        }
+
+
+async def run_hosted(hosting: Hosting, platform: Platform) -> None:
+    """Runs a hosted daemon until it is told to stop by SIGTERM or SIGINT.
+
+    Raises:
+        OSError: If an address can't be bound.
+    """
+    settings = hosting.settings
+    configure_logs(settings.logging, settings.host.id)
+    cap_threads()
+    daemon = HostedDaemon(hosting, platform)
+    tame_garbage_collector()
+    try:
+        async with trio.open_nursery() as nursery:
+            for name, service in daemon.services_by_name().items():
+                nursery.start_soon(supervise, name, service)
+            acceptors = await _open_acceptors(daemon)
+            await nursery.start(daemon.control.serve, settings.listen.control)
+            for acceptor in acceptors:
+                nursery.start_soon(acceptor.serve)
+            nursery.start_soon(_stop_when_told, daemon, nursery.cancel_scope)
+            logger.bind(event="started", service=hosting.upstream_service).info(
+                "serving {}", hosting.callers_address
+            )
+    finally:
+        daemon.decisions.flush()
+        daemon.peers.close()
+        daemon.control.close()
+    logger.bind(event="stopped").info("stopped")
+
+
+async def _open_acceptors(daemon: HostedDaemon) -> list[Acceptor]:
+    """Binds all addresses before any is served, so that a bad one is fatal."""
+    hosting = daemon.hosting
+
+    async def serve_peer_connection(stream: trio.SocketStream) -> None:
+        await serve_peer(
+            stream,
+            daemon.identity,
+            daemon.guard.execute,
+            daemon.guard.load,
+            daemon.connections,
+        )
+
+    def http_handler(handler: Handler) -> ConnectionHandler:
+        async def serve(stream: trio.SocketStream) -> None:
+            await serve_connection(stream, handler, daemon.connections)
+
+        return serve
+
+    handlers_by_address = {
+        hosting.callers_address: http_handler(daemon.entrance.handle),
+        hosting.heartbeat_address: http_handler(daemon.handle_heartbeat),
+        hosting.readiness_address: http_handler(daemon.answer_readiness),
+        daemon.settings.listen.peer: serve_peer_connection,
+    }
+    return [
+        Acceptor(await open_listener(address), handler, _CONNECTIONS)
+        for address, handler in handlers_by_address.items()
+    ]
+
+
+async def _stop_when_told(daemon: HostedDaemon, scope: trio.CancelScope) -> None:
+    """Waits for the order to stop, stops as planned and cancels the daemon's scope."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            break
+        logger.bind(event="stopping").info("planned stop")
+        with trio.move_on_after(daemon.hosting.promises.stop_s - _STOP_MARGIN_S):
+            await _drain(daemon)
+    scope.cancel()
+
+
+async def _drain(daemon: HostedDaemon) -> None:
+    """Serves until callers and peers have turned away, and finishes what runs."""
+    daemon.registrar.stop()
+    daemon.guard.drain()
+    daemon.entrance.closing = True
+    await trio.sleep(_STOP_NOTICE_S)
+    work = daemon.connections.work
+    await work.wait_idle()
+    # What was sent before the last caller turned away may be on its way yet.
+    await trio.sleep(_LAST_REQUESTS_S)
+    await work.wait_idle()
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -1,8 +1,5 @@
 """Running of a daemon: the supervisor tree and the planned stop."""
 
-import gc
-from collections.abc import Awaitable, Callable
-
 import trio
 from loguru import logger
 
@@ -10,21 +7,18 @@
 from mangospoke.control.transport import cap_threads
 from mangospoke.daemon.assembly import Daemon, assemble_daemon
 from mangospoke.daemon.stopping import Acceptors, stop_when_told
+from mangospoke.daemon.supervision import supervise, tame_garbage_collector
 from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
 from mangospoke.http.server import Handler, serve_connection
 from mangospoke.observability.logs import configure_logs
 from mangospoke.peers.server import serve_peer
-from mangospoke.routing.probing import probe_ejected
+from mangospoke.routing.probing import probe_by_control, probe_ejected
 
-_RESTART_DELAY_S = 0.2
 _LONGEST_WAIT_FOR_CONFIGURATION_S = 2.0
-_ALLOCATIONS_PER_COLLECTION = 10_000
 _PEER_CONNECTIONS = 4_000
 _LOCAL_CONNECTIONS = 4_000
 _OPERATIONS_CONNECTIONS = 64
 
-Service = Callable[[], Awaitable[None]]
-
 
 async def run_daemon(settings: Settings) -> None:
     """Runs a daemon until it is told to stop by SIGTERM or SIGINT.
@@ -35,22 +29,22 @@
     configure_logs(settings.logging, settings.host.id)
     cap_threads()
     daemon = assemble_daemon(settings)
-    _tame_garbage_collector()
+    tame_garbage_collector()
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                _supervise, "hang-up monitor", daemon.connections.hang_ups.run
+                supervise, "hang-up monitor", daemon.connections.hang_ups.run
             )
-            nursery.start_soon(_supervise, "decision log", daemon.decisions.run)
-            nursery.start_soon(_supervise, "peer connections", daemon.peers.run)
-            nursery.start_soon(_supervise, "prober", lambda: _probe(daemon))
-            nursery.start_soon(_supervise, "rates", daemon.rates.run)
-            nursery.start_soon(_supervise, "guard", daemon.guard.run)
-            nursery.start_soon(_supervise, "notes", daemon.at_most_once.run)
+            nursery.start_soon(supervise, "decision log", daemon.decisions.run)
+            nursery.start_soon(supervise, "peer connections", daemon.peers.run)
+            nursery.start_soon(supervise, "prober", lambda: _probe(daemon))
+            nursery.start_soon(supervise, "rates", daemon.rates.run)
+            nursery.start_soon(supervise, "guard", daemon.guard.run)
+            nursery.start_soon(supervise, "notes", daemon.at_most_once.run)
             for name, service in daemon.state.services_by_name.items():
-                nursery.start_soon(_supervise, name, service)
-            nursery.start_soon(_supervise, "overload", daemon.overload.run)
-            nursery.start_soon(_supervise, "incidents", daemon.incidents.run)
+                nursery.start_soon(supervise, name, service)
+            nursery.start_soon(supervise, "overload", daemon.overload.run)
+            nursery.start_soon(supervise, "incidents", daemon.incidents.run)
             acceptors = await _start_listeners(daemon, nursery)
             nursery.start_soon(stop_when_told, daemon, acceptors, nursery.cancel_scope)
             logger.bind(event="started").info("serving {}", settings.listen.public)
@@ -61,16 +55,6 @@
     logger.bind(event="stopped").info("stopped")
 
 
-def _tame_garbage_collector() -> None:
-    """Keeps collections off what lives as long as the daemon, and makes them rare.
-
-    A full collection over all modules would hold up every request meanwhile.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_ALLOCATIONS_PER_COLLECTION, 20, 50)
-
-
 async def _start_listeners(daemon: Daemon, nursery: trio.Nursery) -> Acceptors:
     """Binds all addresses before any is served, so that a bad one is fatal."""
     listen = daemon.settings.listen
@@ -120,15 +104,5 @@
 
 
 async def _probe(daemon: Daemon) -> None:
-    await probe_ejected(daemon.fleet, daemon.ejector, daemon.control)
-
-
-async def _supervise(name: str, service: Service) -> None:
-    """Runs a service and restarts it when it fails, so that no other suffers."""
-    while True:
-        try:
-            await service()
-            return
-        except Exception:
-            logger.exception("{} failed and is restarted", name)
-        await trio.sleep(_RESTART_DELAY_S)
+    is_alive = probe_by_control(daemon.fleet, daemon.control)
+    await probe_ejected(daemon.ejector, is_alive)
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -9,6 +9,7 @@
 from mangospoke.calls import Call, Progress
 from mangospoke.conf.settings import Limits
 from mangospoke.guard.admission import Admission, Completion
+from mangospoke.guard.dialect import OWN_DIALECT, UpstreamDialect
 from mangospoke.guard.executions import Executions
 from mangospoke.guard.fair_queue import Place
 from mangospoke.guard.hints import POLL_INTERVAL_S, poll_hints
@@ -44,7 +45,14 @@
             for a short notice, then nothing.
     """
 
-    def __init__(self, fleet: Fleet, limits: Limits, decisions: DecisionLog) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        limits: Limits,
+        decisions: DecisionLog,
+        dialect: UpstreamDialect = OWN_DIALECT,
+        drain_notice_s: float = DRAIN_NOTICE_S,
+    ) -> None:
         self.executions = Executions()
         self.announcement: Announcement | None = None
         self.draining = False
@@ -54,17 +62,25 @@
         self._fleet = fleet
         self._limits = limits
         self._decisions = decisions
+        self._dialect = dialect
+        self._drain_notice_s = drain_notice_s
         self._connections: UpstreamConnections | None = None
         self._unreachable = False
         fleet.configuration_listeners.append(self._take_configuration)
 
     def attach(self, announcement: Announcement) -> None:
         """Takes an upstream's announcement."""
-        is_fresh = self._connections is None or (
-            self._connections.address != announcement.address
+        known = self.announcement
+        is_fresh = (
+            known is None
+            or self._connections is None
+            or known.address != announcement.address
+            or known.instance != announcement.instance
         )
         if is_fresh:
-            self._connections = UpstreamConnections(announcement.address, self._limits)
+            self._connections = UpstreamConnections(
+                announcement.address, self._limits, self._dialect
+            )
         self.announcement = announcement
         self.draining = False
         self._refuses_from = math.inf
@@ -101,6 +117,8 @@
     def _cold_start_s(self) -> float:
         announcement = self.announcement
         assert announcement is not None
+        if announcement.cold_left_ms is not None:
+            return announcement.cold_left_ms / 1000
         service = self._fleet.configuration.services_by_name.get(announcement.service)
         return 0.0 if service is None else service.cold_start_s
 
@@ -146,7 +164,7 @@
         """Starts the notice after which no new work is taken."""
         if not self.draining:
             self.draining = True
-            self._refuses_from = trio.current_time() + DRAIN_NOTICE_S
+            self._refuses_from = trio.current_time() + self._drain_notice_s
 
     def detach(self) -> None:
         """Forgets an upstream that left."""
@@ -212,7 +230,8 @@
 
     def _refusal_before_queue(self, call: Call) -> Refused | None:
         if self.announcement is None or self.announcement.service != call.service:
-            return Refused(RefusalReason.NO_UPSTREAM, "no such upstream on this host")
+            detail = "no such upstream on this host"
+            return Refused(RefusalReason.UPSTREAM_UNREACHABLE, detail)
         if trio.current_time() >= self._refuses_from:
             return Refused(RefusalReason.DRAINING, "the upstream is draining")
         return None
@@ -220,13 +239,19 @@
     async def _run_admitted(self, call: Call) -> Outcome:
         if self._is_key_withdrawn(call):
             return Refused(RefusalReason.KEY_WITHDRAWN, "the key was withdrawn")
+        # It may have waited for its place while the upstream left.
+        refused = self._refusal_before_queue(call)
+        if refused is not None:
+            return refused
         connections = self._connections
-        if connections is None:
-            return Refused(RefusalReason.NO_UPSTREAM, "the upstream left")
+        announcement = self.announcement
+        assert connections is not None and announcement is not None
         service = self._fleet.configuration.services_by_name.get(call.service)
         echoes = service is None or service.echoes_request_id
         with self.executions.register(call) as token:
-            outcome = await connections.execute(call, token, echoes)
+            outcome = await connections.execute(
+                call, token, echoes, announcement.instance
+            )
         self._notice_restart(outcome)
         return outcome
 
--- a/mangospoke/guard/upstream.py
+++ b/mangospoke/guard/upstream.py
@@ -2,12 +2,18 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
 from mangospoke.calls import Call, Progress
 from mangospoke.conf.settings import Limits
-from mangospoke.http import fields
+from mangospoke.guard.dialect import (
+    OWN_DIALECT,
+    AnswerMarks,
+    UpstreamDialect,
+    UpstreamReport,
+)
 from mangospoke.http.bodies import Body, streamed_body
 from mangospoke.http.client import (
     AnswerMalformedError,
@@ -19,7 +25,7 @@
     open_connection,
 )
 from mangospoke.http.messages import HttpAnswer
-from mangospoke.ids import ExecutionToken
+from mangospoke.ids import ExecutionToken, InstanceId
 from mangospoke.verdicts import (
     Answered,
     FailureReason,
@@ -30,7 +36,28 @@
 )
 
 _CONNECT_TIMEOUT_S = 1.0
-_SHED_STATUS = 503
+_IDLE_MARGIN_S = 1.5
+"""Time before an idle connection's announced end from which it is not used."""
+
+
+@dataclass(frozen=True, slots=True)
+class _IdleConnection:
+    """A connection that waits for its next request.
+
+    Attributes:
+        usable_until: Point on trio's clock from which the upstream may close it.
+    """
+
+    connection: HttpConnection
+    usable_until: float
+
+
+@dataclass(slots=True)
+class _Exchange:
+    """One request over one connection, and what its answer said."""
+
+    connection: HttpConnection
+    marks: AnswerMarks = AnswerMarks()
 
 
 class UpstreamConnections:
@@ -38,17 +65,26 @@
 
     Attributes:
         maximum: Connections above which none is kept idle.
+        report: What the upstream told of its load last, or None.
     """
 
-    def __init__(self, address: str, limits: Limits) -> None:
+    def __init__(
+        self, address: str, limits: Limits, dialect: UpstreamDialect = OWN_DIALECT
+    ) -> None:
         self.address = address
-        self._limits = limits
         self.maximum: float = math.inf
-        self._idle: list[HttpConnection] = []
+        self.report: UpstreamReport | None = None
+        self._limits = limits
+        self._dialect = dialect
+        self._idle: list[_IdleConnection] = []
         self._in_use = 0
 
     async def execute(
-        self, call: Call, token: ExecutionToken, echoes_request_id: bool
+        self,
+        call: Call,
+        token: ExecutionToken,
+        echoes_request_id: bool,
+        instance: InstanceId | None = None,
     ) -> Outcome:
         """Runs a call in the upstream.
 
@@ -56,23 +92,30 @@
             call: The call; its progress says whether a byte may have been sent.
             token: Token for the calls that the upstream makes meanwhile.
             echoes_request_id: Whether the answer must carry the call's request id.
+            instance: The start of the upstream that is meant, if it has a name.
         """
         self._in_use += 1
         try:
-            return await self._execute(call, token, echoes_request_id)
+            return await self._execute(call, token, echoes_request_id, instance)
         finally:
             self._in_use -= 1
 
     async def _execute(
-        self, call: Call, token: ExecutionToken, echoes_request_id: bool
+        self,
+        call: Call,
+        token: ExecutionToken,
+        echoes_request_id: bool,
+        instance: InstanceId | None,
     ) -> Outcome:
         try:
             connection = await self._connection()
         except ConnectError as error:
             return Refused(RefusalReason.UPSTREAM_UNREACHABLE, str(error))
+        exchange = _Exchange(connection)
+        headers = self._dialect.request_headers(call, token, instance)
         finished = False
         try:
-            outcome = await self._exchange(connection, call, token, echoes_request_id)
+            outcome = await self._exchange(exchange, call, headers, echoes_request_id)
             finished = isinstance(outcome, Answered | Refused)
         finally:
             if not finished:
@@ -81,35 +124,47 @@
                     await connection.aclose()
         if isinstance(outcome, Answered) and outcome.body.content is None:
             return outcome
-        await self._put_back(connection)
+        await self._put_back(exchange)
         return outcome
 
     async def _connection(self) -> HttpConnection:
+        now = trio.current_time()
         while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_stale():
-                return connection
-            await connection.aclose()
+            idle = self._idle.pop()
+            if now < idle.usable_until and not idle.connection.is_stale():
+                return idle.connection
+            await idle.connection.aclose()
         return await open_connection(
             self.address, self._limits.head_bytes, _CONNECT_TIMEOUT_S
         )
 
     async def _exchange(
         self,
-        connection: HttpConnection,
+        exchange: _Exchange,
         call: Call,
-        token: ExecutionToken,
+        headers: list[tuple[bytes, bytes]],
         echoes_request_id: bool,
     ) -> Outcome:
+        expected_id = call.request_id.encode()
+
+        def is_own(answer: HttpAnswer) -> bool:
+            exchange.marks = self._dialect.read_marks(answer)
+            if not echoes_request_id:
+                return True
+            echoed = exchange.marks.request_id
+            # What did not run need not say which request that was.
+            return echoed == expected_id or (echoed is None and exchange.marks.not_run)
+
         # From here on a byte of the head may reach the upstream.
         call.progress = Progress.SENT
         try:
-            answer = await connection.exchange(
+            answer = await exchange.connection.exchange(
                 call.method,
                 call.target,
-                _upstream_headers(call, token),
+                headers,
                 call.body,
                 self._limits.buffered_body_bytes,
+                is_own,
             )
         except AnswerMissingError as error:
             return Unanswered(FailureReason.UPSTREAM_CONNECTION_LOST, str(error))
@@ -119,52 +174,53 @@
             return Unanswered(FailureReason.MALFORMED_ANSWER, str(error))
         except RequestBrokenError as error:
             return Unanswered(FailureReason.REQUEST_BROKEN, str(error))
-        return _outcome_of(answer, call, echoes_request_id)
-
-    async def _put_back(self, connection: HttpConnection) -> None:
+        if not is_own(answer):
+            detail = "the answer carries another request's id"
+            return Unanswered(FailureReason.CROSSED_ANSWER, detail)
+        if exchange.marks.report is not None:
+            self.report = exchange.marks.report
+        return _outcome_of(answer, exchange.marks, call, self._dialect.internal_fields)
+
+    async def _put_back(self, exchange: _Exchange) -> None:
         has_room = self._in_use + len(self._idle) <= self.maximum
-        if has_room and connection.is_reusable():
-            self._idle.append(connection)
+        if has_room and exchange.connection.is_reusable():
+            until = trio.current_time() + _idle_s(exchange.marks)
+            self._idle.append(_IdleConnection(exchange.connection, until))
         else:
-            await connection.aclose()
+            await exchange.connection.aclose()
 
     async def aclose(self) -> None:
         """Closes the idle connections."""
         while self._idle:
-            await self._idle.pop().aclose()
-
-
-def _upstream_headers(call: Call, token: ExecutionToken) -> list[tuple[bytes, bytes]]:
-    remaining_ms = max(0, int((call.deadline - trio.current_time()) * 1000))
-    headers = [
-        *call.headers,
-        (fields.REQUEST_ID, call.request_id.encode()),
-        (fields.ACCOUNT, call.account_id.encode()),
-        (fields.IMPORTANCE, b"%d" % call.importance),
-        (fields.DEADLINE, b"%d" % remaining_ms),
-        (fields.EXECUTION, token.encode()),
-    ]
-    if call.idempotency_key is not None:
-        headers.append((fields.IDEMPOTENCY_KEY, call.idempotency_key.encode()))
-    return headers
-
-
-def _outcome_of(answer: HttpAnswer, call: Call, echoes_request_id: bool) -> Outcome:
-    echoed = None
-    shed = False
-    for name, value in answer.headers:
-        if name == fields.REQUEST_ID:
-            echoed = value
-        elif name == fields.SHED:
-            shed = True
-    if echoes_request_id and echoed != call.request_id.encode():
-        detail = "the answer carries another request's id"
-        return Unanswered(FailureReason.CROSSED_ANSWER, detail)
-    if shed and answer.status == _SHED_STATUS and answer.body.content is not None:
+            await self._idle.pop().connection.aclose()
+
+
+def _idle_s(marks: AnswerMarks) -> float:
+    """Seconds for which a connection may be used again.
+
+    It is given up before the upstream does so: a request that crosses the close
+    may or may not have run.
+    """
+    if marks.idle_s is None:
+        return math.inf
+    return max(0.0, marks.idle_s - _IDLE_MARGIN_S)
+
+
+def _outcome_of(
+    answer: HttpAnswer, marks: AnswerMarks, call: Call, internal: frozenset[bytes]
+) -> Outcome:
+    is_whole = answer.body.content is not None
+    if marks.is_other_instance:
+        call.progress = Progress.UNSENT
+        return Refused(RefusalReason.OTHER_INSTANCE, "another instance answered")
+    if marks.not_run and is_whole:
         # The upstream's documented way of saying that it did not run the request.
         call.progress = Progress.UNSENT
         return Refused(RefusalReason.SHED_BY_UPSTREAM, "the upstream shed it")
-    headers = [pair for pair in answer.headers if pair[0] not in fields.INTERNAL]
+    if not marks.is_genuine:
+        detail = "the answer lacks what the upstream's answers have"
+        return Unanswered(FailureReason.MALFORMED_ANSWER, detail)
+    headers = [pair for pair in answer.headers if pair[0] not in internal]
     return Answered(answer.status, headers, answer.body)
 
 
--- a/mangospoke/ids.py
+++ b/mangospoke/ids.py
@@ -11,6 +11,9 @@
 RouteName = NewType("RouteName", str)
 RequestId = NewType("RequestId", str)
 ExecutionToken = NewType("ExecutionToken", str)
+InstanceId = NewType("InstanceId", str)
+"""One start of an upstream, by the name that it gives itself."""
+
 IdempotencyKey = NewType("IdempotencyKey", str)
 Incarnation = NewType("Incarnation", int)
 """Wall-clock milliseconds at which a daemon process started.
--- a/mangospoke/ingress/answers.py
+++ b/mangospoke/ingress/answers.py
@@ -1,5 +1,7 @@
 """How an outcome is shown to a caller."""
 
+import math
+
 from mangospoke.http import fields
 from mangospoke.http.bodies import whole_body
 from mangospoke.http.messages import HttpAnswer
@@ -35,4 +37,5 @@
         seconds = RULES_BY_REFUSAL[refused.reason].retry_after_s
     if seconds is None:
         return []
-    return [(b"retry-after", b"%d" % seconds)]
+    # The field takes whole seconds; coming back too early would be refused again.
+    return [(b"retry-after", b"%d" % math.ceil(seconds))]
--- a/mangospoke/ingress/authentication.py
+++ b/mangospoke/ingress/authentication.py
@@ -19,7 +19,12 @@
         return Refused(RefusalReason.UNAUTHENTICATED, "send `Bearer KEY_ID.SECRET`")
     parts = split_key(value[len(_SCHEME) :].strip())
     key = configuration.keys_by_id.get(parts[0]) if parts else None
-    if parts is None or key is None or not is_secret_of(parts[1], key.key_hash):
+    if (
+        parts is None
+        or key is None
+        or key.key_hash is None
+        or not is_secret_of(parts[1], key.key_hash)
+    ):
         return Refused(RefusalReason.UNAUTHENTICATED, "the key is unknown")
     if key.withdrawn:
         return Refused(RefusalReason.KEY_WITHDRAWN, "the key was withdrawn")
--- a/mangospoke/ingress/calls.py
+++ b/mangospoke/ingress/calls.py
@@ -38,6 +38,9 @@
 
 _MAXIMUM_KEY_CHARACTERS = 128
 
+NO_ACCOUNT = ClientAccountId("")
+"""Stands in the calls of routes that need no key."""
+
 
 def match_route(
     request: HttpRequest, configuration: EffectiveConfiguration, *, internal: bool
@@ -66,7 +69,7 @@
     request: HttpRequest,
     route: EffectiveRoute,
     account_id: ClientAccountId,
-    key_id: KeyId,
+    key_id: KeyId | None,
     domain: FailureDomainId,
 ) -> Call | Refused:
     """Makes the call of a caller's request."""
--- a/mangospoke/ingress/dispatch.py
+++ b/mangospoke/ingress/dispatch.py
@@ -12,7 +12,7 @@
 from mangospoke.peers.client import PeerPool
 from mangospoke.routing.balancer import Balancer, Choice
 from mangospoke.routing.ejection import Ejector
-from mangospoke.routing.retries import RetryBudgets
+from mangospoke.routing.retries import Budgets, RetryBudgets
 from mangospoke.verdicts import (
     RULES_BY_REFUSAL,
     Answered,
@@ -27,6 +27,11 @@
 
 _LEAST_TIME_FOR_RETRY_S = 0.005
 
+_SEEN_BY_UPSTREAM = frozenset(
+    {RefusalReason.SHED_BY_UPSTREAM, RefusalReason.OTHER_INSTANCE}
+)
+"""Refusals that came from the upstream itself."""
+
 
 class Dispatcher:
     """Sends calls to upstreams, this host's own or another's.
@@ -43,13 +48,29 @@
         balancer: Balancer,
         ejector: Ejector,
         decisions: DecisionLog,
+        budgets: Budgets | None = None,
+        replacements: int = 0,
     ) -> None:
+        """Makes a dispatcher.
+
+        Args:
+            host_id: This host.
+            execute_locally: Has this host's own guard execute a call.
+            peers: The daemons of other hosts.
+            balancer: Chooses upstreams.
+            ejector: Keeps failing upstreams out.
+            decisions: Where decisions are recorded.
+            budgets: Bounds retries by service; those of the product by default.
+            replacements: Times that a call may be placed anew, beside its retries,
+                after a guard refused it without sending it to its upstream.
+        """
         self._host_id = host_id
         self._execute_locally = execute_locally
         self._peers = peers
         self._balancer = balancer
         self._ejector = ejector
-        self._budgets = RetryBudgets()
+        self._budgets: Budgets = budgets or RetryBudgets()
+        self._replacements = replacements
         self.execute_at_home: LocalExecutor = self.run_anywhere
         self._decisions = decisions
 
@@ -85,14 +106,18 @@
     async def _run_anywhere(self, call: Call) -> Outcome:
         tried: set[HostId] = set()
         outcome: Outcome | None = None
+        replacements = self._replacements
         while True:
             choice = self._balancer.choose(call.service, tried)
             if choice is None:
                 return outcome or Refused(
                     RefusalReason.NO_UPSTREAM, "no upstream serves it"
                 )
-            if outcome is not None and not self._may_retry(call, outcome):
-                return outcome
+            if outcome is not None:
+                if replacements and _may_place_anew(call, outcome):
+                    replacements -= 1
+                elif not self._may_retry(call, outcome):
+                    return outcome
             tried.add(choice.upstream.host_id)
             if isinstance(outcome, Unanswered):
                 call.earlier = outcome
@@ -128,15 +153,7 @@
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         if isinstance(outcome, Unanswered) and not call.idempotent:
             return False
-        if (
-            isinstance(outcome, Refused)
-            and not RULES_BY_REFUSAL[outcome.reason].retryable
-        ):
-            return False
-        if call.body.content is None:
-            # A streamed body has been read and can't be sent again.
-            return False
-        if call.deadline - trio.current_time() < _LEAST_TIME_FOR_RETRY_S:
+        if not _can_run_again(call, outcome):
             return False
         if call.retries.remaining < 1 or not self._budgets.spend(call.service):
             return False
@@ -144,6 +161,22 @@
         return True
 
 
+def _may_place_anew(call: Call, outcome: Outcome) -> bool:
+    """Whether a guard kept a call from its upstream, so that it costs no retry."""
+    if not isinstance(outcome, Refused) or outcome.reason in _SEEN_BY_UPSTREAM:
+        return False
+    return _can_run_again(call, outcome)
+
+
+def _can_run_again(call: Call, outcome: Outcome) -> bool:
+    if isinstance(outcome, Refused) and not RULES_BY_REFUSAL[outcome.reason].retryable:
+        return False
+    if call.body.content is None:
+        # A streamed body has been read and can't be sent again.
+        return False
+    return call.deadline - trio.current_time() >= _LEAST_TIME_FOR_RETRY_S
+
+
 def _locate_record(call: Call, outcome: Outcome) -> None:
     """Tells the caller, in the key, where to learn what became of its request."""
     if outcome.verdict is Verdict.NOT_RUN or call.sent_to is None:
--- /dev/null
+++ b/mangospoke/ingress/hosted.py
@@ -0,0 +1,154 @@
+"""The entrance of a hosted daemon: callers and this host's upstream on one address."""
+
+import trio
+
+from mangospoke.calls import Call, RetryAllowance
+from mangospoke.conf.declarations import Access
+from mangospoke.conf.effective import (
+    EffectiveAccount,
+    EffectiveConfiguration,
+    EffectiveRoute,
+)
+from mangospoke.http.messages import HttpAnswer, HttpRequest
+from mangospoke.ids import ClientAccountId, KeyId, ServiceName
+from mangospoke.ingress.calls import NO_ACCOUNT, new_request_id
+from mangospoke.ingress.dialect import CallerDialect, CallerFields
+from mangospoke.ingress.dispatch import Dispatcher
+from mangospoke.ingress.public import Quota
+from mangospoke.ingress.splitting import WeightedSplit
+from mangospoke.observability.decisions import DecisionLog
+from mangospoke.state.fleet import Fleet
+from mangospoke.state.freshness import Freshness
+from mangospoke.verdicts import Outcome, RefusalReason, Refused
+
+_NO_SERVICE = ServiceName("")
+
+
+class HostedEntrance:
+    """Serves requests that enter the fleet at this host.
+
+    Attributes:
+        closing: Whether each answer ends its connection, so that callers look for
+            another host.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        freshness: Freshness,
+        dialect: CallerDialect,
+        service: ServiceName,
+        quota: Quota,
+        dispatcher: Dispatcher,
+        decisions: DecisionLog,
+    ) -> None:
+        self.closing = False
+        self._fleet = fleet
+        self._freshness = freshness
+        self._dialect = dialect
+        self._service = service
+        self._quota = quota
+        self._dispatcher = dispatcher
+        self._decisions = decisions
+        self._split = WeightedSplit()
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Authenticates a request, holds it to its account's rate and dispatches it."""
+        fields = self._dialect.read_fields(request)
+        outcome = await self._outcome(request, fields)
+        answer = self._dialect.write_answer(outcome, fields.request_id)
+        answer.closes = self.closing
+        return answer
+
+    async def _outcome(self, request: HttpRequest, fields: CallerFields) -> Outcome:
+        configuration = self._fleet.configuration
+        route = self._match(request, fields, configuration)
+        if isinstance(route, Refused):
+            return self._refuse(route, NO_ACCOUNT, _NO_SERVICE)
+        service = self._split.choose(route)
+        account = self._authenticate(route, fields, configuration)
+        if isinstance(account, Refused):
+            return self._refuse(account, NO_ACCOUNT, service)
+        if account is not None and account.rate:
+            over_rate = await self._quota(account)
+            if over_rate is not None:
+                return self._refuse(over_rate, account.account_id, service)
+        call = self._call(request, fields, route, service, account)
+        return await self._dispatcher.dispatch_recorded(call)
+
+    def _match(
+        self,
+        request: HttpRequest,
+        fields: CallerFields,
+        configuration: EffectiveConfiguration,
+    ) -> EffectiveRoute | Refused:
+        if configuration.version == 0:
+            return Refused(RefusalReason.NOT_CONFIGURED, "no configuration yet")
+        route = configuration.host_routes.match(fields.host, request.path)
+        if route is None:
+            return Refused(RefusalReason.UNKNOWN_ROUTE, "no route has this path")
+        return route
+
+    def _authenticate(
+        self,
+        route: EffectiveRoute,
+        fields: CallerFields,
+        configuration: EffectiveConfiguration,
+    ) -> EffectiveAccount | Refused | None:
+        """The account whose key a request carries; None if the route needs none."""
+        if route.access is Access.KEYLESS:
+            return None
+        if not self._freshness.is_fresh():
+            detail = "this host can't tell whether keys have been withdrawn"
+            return Refused(RefusalReason.CONFIGURATION_STALE, detail)
+        key = None
+        if fields.key_id is not None:
+            key = configuration.keys_by_id.get(fields.key_id)
+        if key is None or key.withdrawn:
+            return Refused(RefusalReason.UNAUTHENTICATED, "the key is unknown")
+        return configuration.accounts_by_id[key.account_id]
+
+    def _call(
+        self,
+        request: HttpRequest,
+        fields: CallerFields,
+        route: EffectiveRoute,
+        service: ServiceName,
+        account: EffectiveAccount | None,
+    ) -> Call:
+        importance = route.importance
+        if account is not None and account.importance is not None:
+            importance = account.importance
+        return Call(
+            request_id=fields.request_id or new_request_id(),
+            account_id=account.account_id if account is not None else NO_ACCOUNT,
+            key_id=_key_of(fields, account),
+            service=service,
+            route=route.name,
+            method=request.method,
+            target=request.target,
+            headers=self._dialect.passed_on(request, self._service),
+            body=request.body,
+            deadline=trio.current_time() + _time_s(fields, route),
+            importance=importance,
+            idempotent=route.idempotent,
+            idempotency_key=None,
+            retries=RetryAllowance(route.retries),
+        )
+
+    def _refuse(
+        self, refused: Refused, account_id: ClientAccountId, service: ServiceName
+    ) -> Refused:
+        self._decisions.refused_at_entry(account_id, service, refused)
+        return refused
+
+
+def _key_of(fields: CallerFields, account: EffectiveAccount | None) -> KeyId | None:
+    return None if account is None else fields.key_id
+
+
+def _time_s(fields: CallerFields, route: EffectiveRoute) -> float:
+    """The route's time, or a shorter one that the caller will wait."""
+    if fields.time_left_s is None:
+        return route.deadline_s
+    return min(route.deadline_s, fields.time_left_s)
--- a/mangospoke/ingress/public.py
+++ b/mangospoke/ingress/public.py
@@ -5,13 +5,14 @@
 
 import trio
 
+from mangospoke.conf.declarations import Access
 from mangospoke.conf.effective import EffectiveAccount
 from mangospoke.guard.guard import DRAIN_NOTICE_S
 from mangospoke.http.messages import HttpAnswer, HttpRequest
 from mangospoke.ids import ClientAccountId, FailureDomainId, ServiceName
 from mangospoke.ingress.answers import answer_of
 from mangospoke.ingress.authentication import authenticate
-from mangospoke.ingress.calls import match_route, root_call
+from mangospoke.ingress.calls import NO_ACCOUNT, match_route, root_call
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.state.fleet import Fleet
@@ -23,7 +24,6 @@
 It may let a request wait for a fraction of a second, but awaits nothing if it needn't.
 """
 
-_NO_ACCOUNT = ClientAccountId("")
 _NO_SERVICE = ServiceName("")
 
 
@@ -62,18 +62,21 @@
         configuration = self._fleet.configuration
         if trio.current_time() >= self._refuses_from:
             refused = Refused(RefusalReason.DRAINING, "this host is stopping")
-            return self._refuse(refused, _NO_ACCOUNT, _NO_SERVICE)
+            return self._refuse(refused, NO_ACCOUNT, _NO_SERVICE)
         route = match_route(request, configuration, internal=False)
         if isinstance(route, Refused):
-            return self._refuse(route, _NO_ACCOUNT, _NO_SERVICE)
-        identity = authenticate(request, configuration)
-        if isinstance(identity, Refused):
-            return self._refuse(identity, _NO_ACCOUNT, route.service)
-        account_id, key_id = identity
+            return self._refuse(route, NO_ACCOUNT, _NO_SERVICE)
+        account_id, key_id = NO_ACCOUNT, None
+        if route.access is not Access.KEYLESS:
+            identity = authenticate(request, configuration)
+            if isinstance(identity, Refused):
+                return self._refuse(identity, NO_ACCOUNT, route.service)
+            account_id, key_id = identity
         call = root_call(request, route, account_id, key_id, self._domain)
         if isinstance(call, Refused):
             return self._refuse(call, account_id, route.service)
-        over_rate = await self._quota(configuration.accounts_by_id[account_id])
+        account = configuration.accounts_by_id.get(account_id)
+        over_rate = None if account is None else await self._quota(account)
         if over_rate is not None:
             return self._refuse(over_rate, account_id, route.service)
         outcome = await self._dispatcher.dispatch_recorded(call)
--- /dev/null
+++ b/mangospoke/logservice/calls.py
@@ -0,0 +1,139 @@
+"""HTTP calls to the log service over pooled connections."""
+
+import time
+
+import trio
+
+from mangospoke.conf.settings import LogService
+from mangospoke.http.bodies import whole_body
+from mangospoke.http.client import (
+    AnswerMalformedError,
+    AnswerMissingError,
+    AnswerTruncatedError,
+    ConnectError,
+    HttpConnection,
+    open_connection,
+)
+from mangospoke.http.messages import HttpAnswer
+from mangospoke.observability.status import LogHealth
+
+_HEAD_BYTES = 16_384
+_ANSWER_BYTES = 16_777_216
+_IDLE_CONNECTIONS = 2
+
+
+class LogUnavailableError(Exception):
+    """The log service gave no answer: an append may or may not have happened."""
+
+
+class LogRefusedError(Exception):
+    """The log service refused an append, which did not happen."""
+
+
+class OffsetGoneError(Exception):
+    """Retention has passed the offset.
+
+    Attributes:
+        first_offset: The first offset that is still kept.
+    """
+
+    def __init__(self, first_offset: int) -> None:
+        super().__init__(f"retention has passed; the first offset is {first_offset}")
+        self.first_offset = first_offset
+
+
+class LogCalls:
+    """Calls the log service and keeps count of how it answers."""
+
+    def __init__(self, settings: LogService) -> None:
+        self._settings = settings
+        self._idle: list[HttpConnection] = []
+        self._answered_at: float | None = None
+        self._failures_in_row = 0
+
+    def health(self) -> LogHealth:
+        """Says how the log service has answered."""
+        answered_ago_s = None
+        if self._answered_at is not None:
+            answered_ago_s = round(time.monotonic() - self._answered_at, 3)
+        return LogHealth(answered_ago_s, self._failures_in_row)
+
+    async def exchange(
+        self,
+        method: bytes,
+        target: str,
+        content: bytes = b"",
+        content_type: bytes = b"application/json",
+        wait_s: float = 0.0,
+    ) -> HttpAnswer:
+        """Makes a call and returns its answer, whatever its status.
+
+        Args:
+            method: The HTTP method.
+            target: Path and query.
+            content: The request's body.
+            content_type: Media type of the body.
+            wait_s: Seconds that the log service may hold the call back.
+
+        Raises:
+            LogUnavailableError: If no answer came.
+        """
+        timeout_s = self._settings.timeout_ms / 1000 + wait_s
+        headers = [
+            (b"host", self._settings.address.encode()),
+            (b"content-type", content_type),
+        ]
+        try:
+            with trio.fail_after(timeout_s):
+                answer = await self._exchange_once(
+                    method, target.encode(), headers, content
+                )
+        except (
+            ConnectError,
+            AnswerMissingError,
+            AnswerTruncatedError,
+            AnswerMalformedError,
+            trio.TooSlowError,
+        ) as error:
+            self._failures_in_row += 1
+            raise LogUnavailableError(repr(error)) from error
+        self._answered_at = time.monotonic()
+        self._failures_in_row = 0
+        return answer
+
+    async def _exchange_once(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: list[tuple[bytes, bytes]],
+        content: bytes,
+    ) -> HttpAnswer:
+        connection = await self._connection()
+        reusable = False
+        try:
+            answer = await connection.exchange(
+                method, target, headers, whole_body(content), _ANSWER_BYTES
+            )
+            reusable = answer.body.content is not None and connection.is_reusable()
+        finally:
+            if not reusable:
+                with trio.CancelScope(shield=True):
+                    await connection.aclose()
+        if reusable:
+            await self._put_back(connection)
+        return answer
+
+    async def _connection(self) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_stale():
+                return connection
+            await connection.aclose()
+        timeout_s = self._settings.timeout_ms / 1000
+        return await open_connection(self._settings.address, _HEAD_BYTES, timeout_s)
+
+    async def _put_back(self, connection: HttpConnection) -> None:
+        if len(self._idle) < _IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            await connection.aclose()
--- a/mangospoke/logservice/records.py
+++ b/mangospoke/logservice/records.py
@@ -92,10 +92,15 @@
 
 
 class UpstreamState(enum.Enum):
-    """What an upstream announced."""
+    """What an upstream announced.
+
+    `ABSENT` is said of a daemon whose upstream has not announced itself yet, or has
+    left: the host is there, but takes no requests.
+    """
 
     SERVING = "serving"
     DRAINING = "draining"
+    ABSENT = "absent"
 
 
 class UpstreamAnnounced(Record, frozen=True, kw_only=True, tag="upstream-announced"):
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -122,6 +122,15 @@
             self._put_back(address, connection)
         return outcome
 
+    async def reach(self, address: str) -> bool:
+        """Whether the daemon at an address takes a connection, which is then kept."""
+        try:
+            connection = await self._dial(address)
+        except (PeerGoneError, PeerProtocolError):
+            return False
+        self._put_back(address, connection)
+        return True
+
     async def _connection(self, address: str) -> _PeerConnection:
         idle = self._idle_by_address.get(address)
         while idle:
--- a/mangospoke/peers/messages.py
+++ b/mangospoke/peers/messages.py
@@ -144,7 +144,7 @@
     kind: int
     reason: str
     detail: str
-    retry_after_s: int | None
+    retry_after_s: float | None
     retries_unspent: int
     load: Load
 
--- a/mangospoke/rates/messages.py
+++ b/mangospoke/rates/messages.py
@@ -144,3 +144,26 @@
 
     shares: dict[ClientAccountId, Share]
     vouchers: dict[ClientAccountId, int]
+
+
+class TokenAmount(Struct, frozen=True, array_like=True):
+    """Tokens of an account.
+
+    Attributes:
+        milli: Thousandths of a token.
+    """
+
+    account_id: ClientAccountId
+    milli: int
+
+
+class BorrowTokens(Message, frozen=True, tag="borrow-tokens"):
+    """Asks a host for tokens that it doesn't need soon."""
+
+    wants: tuple[TokenAmount, ...]
+
+
+class TokensLent(Message, frozen=True, tag="tokens-lent"):
+    """Tokens taken out of the answering host's buckets."""
+
+    lent: tuple[TokenAmount, ...]
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -88,7 +88,7 @@
 
     def _membership_changed(self) -> None:
         self._candidates_by_service.clear()
-        upstreams = self._fleet.membership_state.upstreams_by_host
+        upstreams = self._fleet.upstreams_by_host
         self._ejector.keep_only(set(upstreams))
         addresses = {upstream.peer_address for upstream in upstreams.values()}
         for known in (self._observed_by_address, self._transit_by_address):
--- a/mangospoke/routing/probing.py
+++ b/mangospoke/routing/probing.py
@@ -1,6 +1,7 @@
 """Probing of ejected upstreams before they get requests again."""
 
 import random
+from collections.abc import Awaitable, Callable
 
 import trio
 from loguru import logger
@@ -15,11 +16,15 @@
 _TIMEOUT_S = 1.0
 
 
-async def probe_ejected(fleet: Fleet, ejector: Ejector, control: ControlPlane) -> None:
+IsAlive = Callable[[HostId], Awaitable[bool]]
+"""Says whether a host's daemon and upstream can be reached."""
+
+
+async def probe_ejected(ejector: Ejector, is_alive: IsAlive) -> None:
     """Probes ejected upstreams whose time out has passed, until it is cancelled."""
     while True:
         for host_id in ejector.due_for_probe():
-            alive = await _is_alive(fleet, host_id, control)
+            alive = await is_alive(host_id)
             ejector.probed(host_id, alive=alive)
             logger.bind(event="probed", host=host_id, alive=alive).info(
                 "ejected host {} probed", host_id
@@ -27,6 +32,15 @@
         await trio.sleep(_INTERVAL_S * random.uniform(0.5, 1.5))
 
 
+def probe_by_control(fleet: Fleet, control: ControlPlane) -> IsAlive:
+    """Makes a probe that asks a host's daemon by a control message."""
+
+    async def is_alive(host_id: HostId) -> bool:
+        return await _is_alive(fleet, host_id, control)
+
+    return is_alive
+
+
 async def _is_alive(fleet: Fleet, host_id: HostId, control: ControlPlane) -> bool:
     upstream = fleet.membership_state.upstreams_by_host.get(host_id)
     if upstream is None:
--- a/mangospoke/state/fleet.py
+++ b/mangospoke/state/fleet.py
@@ -89,15 +89,23 @@
                 "version {} can't be used here: {}", state.version, error
             )
             return
-        self.configuration = merged
-        logger.bind(event="configuration_in_force", version=state.version).info(
-            "configuration {} is in force", state.version
+        self.put_configuration(merged)
+
+    def put_configuration(self, configuration: EffectiveConfiguration) -> None:
+        """Puts a whole configuration in force."""
+        version = configuration.version
+        self.configuration = configuration
+        logger.bind(event="configuration_in_force", version=version).info(
+            "configuration {} is in force", version
         )
         self._notify(self.configuration_listeners)
 
     def use_membership(self) -> None:
         """Puts the folded membership and the domain's own news in force."""
-        upstreams_by_host = self.provisional.merged()
+        self.put_upstreams(self.provisional.merged())
+
+    def put_upstreams(self, upstreams_by_host: dict[HostId, UpstreamAnnounced]) -> None:
+        """Puts a whole set of upstreams in force."""
         if upstreams_by_host == self.upstreams_by_host:
             return
         _log_changes(self.upstreams_by_host, upstreams_by_host)
--- a/mangospoke/verdicts.py
+++ b/mangospoke/verdicts.py
@@ -42,6 +42,8 @@
     DEADLINE_EXCEEDED = "deadline-exceeded"
     NO_UPSTREAM = "no-upstream"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
+    OTHER_INSTANCE = "other-instance"
+    CONFIGURATION_STALE = "configuration-stale"
     PEER_UNREACHABLE = "peer-unreachable"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
@@ -120,6 +122,8 @@
     RefusalReason.UPSTREAM_UNREACHABLE: RefusalRule(
         502, retry_after_s=1, retryable=True
     ),
+    RefusalReason.OTHER_INSTANCE: RefusalRule(503, retry_after_s=1, retryable=True),
+    RefusalReason.CONFIGURATION_STALE: RefusalRule(503, retry_after_s=1),
     RefusalReason.PEER_UNREACHABLE: RefusalRule(502, retry_after_s=1, retryable=True),
     RefusalReason.DRAINING: RefusalRule(503, retry_after_s=1, retryable=True),
     RefusalReason.QUARANTINED: RefusalRule(422),
@@ -174,7 +178,7 @@
 
     reason: RefusalReason
     detail: str = ""
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
     @property
     def verdict(self) -> Verdict:
--- /dev/null
+++ b/tests/state/test_registrar.py
@@ -0,0 +1,255 @@
+"""What heartbeats change: the guard, and the host's record in the log."""
+
+import dataclasses
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+
+from mangospoke.conf.settings import Fleet as FleetSettings
+from mangospoke.conf.settings import Host, Limits, Listen, LogService, Settings
+from mangospoke.guard.guard import Guard
+from mangospoke.logservice.calls import LogUnavailableError
+from mangospoke.logservice.keyed import KeyedRecord
+from mangospoke.logservice.records import UpstreamAnnounced, UpstreamState
+from mangospoke.observability.decisions import DecisionLog
+from mangospoke.state.fleet import Fleet
+from mangospoke.state.registrar import (
+    Heartbeat,
+    HeartbeatState,
+    HostDirectory,
+    HostRegistrar,
+)
+
+ADDRESS = "127.0.0.1:1"
+SETTINGS = Settings(
+    host=Host(id="h1", failure_domain="a", site="s"),
+    listen=Listen(
+        public=ADDRESS, local=ADDRESS, peer=ADDRESS, control=ADDRESS, operations=ADDRESS
+    ),
+    fleet=FleetSettings(secret="s"),
+    log=LogService(address=ADDRESS),
+)
+
+
+class FakeLog:
+    """Keeps what is put; fails as often as it is told."""
+
+    def __init__(self):
+        self.puts = []
+        self.failures = 0
+
+    async def put(self, topic, key, value, writer):
+        if self.failures:
+            self.failures -= 1
+            raise LogUnavailableError("lost")
+        self.puts.append((topic, key, value, writer))
+
+    def states(self):
+        return [
+            msgspec.json.decode(value, type=UpstreamAnnounced).state
+            for _, _, value, _ in self.puts
+        ]
+
+
+@pytest.fixture
+def guard():
+    return Guard(Fleet("s"), Limits(), DecisionLog(), drain_notice_s=0.7)
+
+
+@pytest.fixture
+def log():
+    return FakeLog()
+
+
+@pytest.fixture
+def registrar(guard, log):
+    return HostRegistrar(SETTINGS, 7, "batches", guard, log, "hosts")
+
+
+@pytest.fixture
+async def running(registrar, autojump_clock):
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(registrar.run)
+        yield registrar
+        nursery.cancel_scope.cancel()
+
+
+BEAT = Heartbeat(
+    instance="i-1",
+    service="batches",
+    address="127.0.0.1:2",
+    slots=10,
+    state=HeartbeatState.SERVING,
+    started_at_ms=1_000,
+    sequence=5,
+    cold_left_ms=0,
+)
+
+
+def beat(**changes):
+    return dataclasses.replace(BEAT, **changes)
+
+
+async def test_the_host_is_registered_before_its_upstream_tells_anything(running, log):
+    await running.wait_written()
+    assert log.states() == [UpstreamState.ABSENT]
+
+
+async def test_a_first_heartbeat_makes_the_host_serve(running, log, guard):
+    assert running.take(BEAT)
+    await running.wait_written()
+    assert log.states()[-1] is UpstreamState.SERVING
+    assert guard.announcement.instance == "i-1"
+
+
+async def test_heartbeats_that_change_nothing_write_nothing(running, log):
+    running.take(BEAT)
+    await running.wait_written()
+    written = len(log.puts)
+    for sequence in range(6, 12):
+        running.take(beat(sequence=sequence, cold_left_ms=sequence))
+    await running.wait_written()
+    assert len(log.puts) == written
+
+
+@pytest.mark.parametrize(
+    "state", [HeartbeatState.DRAINING, HeartbeatState.LEAVING], ids=lambda s: s.value
+)
+async def test_an_upstream_that_leaves_gets_no_new_work(running, log, guard, state):
+    running.take(BEAT)
+    running.take(beat(state=state, sequence=6))
+    await running.wait_written()
+    assert guard.draining
+    assert log.states()[-1] is UpstreamState.DRAINING
+
+
+async def test_a_late_heartbeat_does_not_undo_a_drain(running, guard):
+    running.take(BEAT)
+    running.take(beat(state=HeartbeatState.DRAINING, sequence=8))
+    assert not running.take(beat(sequence=7))
+    assert guard.draining
+
+
+async def test_a_heartbeat_after_a_farewell_brings_nothing_back(running, guard):
+    running.take(BEAT)
+    running.take(beat(state=HeartbeatState.LEAVING, sequence=6))
+    assert not running.take(beat(sequence=9))
+    assert guard.draining
+
+
+async def test_a_late_heartbeat_of_an_earlier_start_is_ignored(running, guard):
+    running.take(beat(instance="i-2", started_at_ms=2_000, sequence=1))
+    assert not running.take(beat(sequence=50))
+    assert guard.announcement.instance == "i-2"
+
+
+async def test_a_new_start_under_the_same_name_counts_anew(running, guard):
+    running.take(beat(sequence=50))
+    running.take(beat(state=HeartbeatState.DRAINING, sequence=51))
+    assert running.take(beat(started_at_ms=9_000, sequence=1))
+    assert not guard.draining
+
+
+async def test_a_record_that_was_not_taken_is_written_again(running, log):
+    log.failures = 3
+    running.take(BEAT)
+    await running.wait_written()
+    assert log.states()[-1] is UpstreamState.SERVING
+
+
+async def test_each_write_has_its_number_in_the_daemons_life(running, log):
+    running.take(BEAT)
+    await running.wait_written()
+    running.take(beat(state=HeartbeatState.DRAINING, sequence=6))
+    await running.wait_written()
+    writers = [writer for _, _, _, writer in log.puts]
+    assert {writer.epoch for writer in writers} == {7}
+    assert [writer.sequence for writer in writers] == list(range(len(writers)))
+
+
+async def test_changes_that_overtake_each_other_leave_no_gap_in_the_numbers(
+    running, log
+):
+    running.take(BEAT)
+    await running.wait_written()
+    running.take(beat(state=HeartbeatState.DRAINING, sequence=6))
+    running.take(beat(instance="i-2", started_at_ms=3_000))
+    await running.wait_written()
+    numbers = [writer.sequence for _, _, _, writer in log.puts]
+    assert numbers == list(range(len(numbers)))
+    assert log.states()[-1] is UpstreamState.SERVING
+
+
+async def test_a_write_without_an_answer_is_settled_before_the_next(running, log):
+    running.take(BEAT)
+    await running.wait_written()
+    attempts = []
+    put = log.put
+
+    async def lose_answer(topic, key, value, writer):
+        attempts.append((writer.sequence, value))
+        if len(attempts) == 1:
+            raise LogUnavailableError("lost")
+        await put(topic, key, value, writer)
+
+    log.put = lose_answer
+    running.take(beat(state=HeartbeatState.DRAINING, sequence=6))
+    await trio.testing.wait_all_tasks_blocked()
+    running.take(beat(instance="i-2", started_at_ms=3_000))
+    await running.wait_written()
+    assert attempts[0] == attempts[1]
+    assert attempts[2][0] == attempts[1][0] + 1
+
+
+async def test_a_stopping_daemon_takes_no_upstream_back(running, log):
+    running.take(BEAT)
+    running.stop()
+    running.take(beat(instance="i-2", started_at_ms=5_000))
+    await running.wait_written()
+    assert log.states()[-1] is UpstreamState.DRAINING
+
+
+def record(host_id, incarnation, sequence, state=UpstreamState.SERVING):
+    return UpstreamAnnounced(
+        record_id="r",
+        host_id=host_id,
+        failure_domain="a",
+        incarnation=incarnation,
+        service="batches",
+        peer_address=host_id,
+        control_address=host_id,
+        slots=1,
+        state=state,
+        sequence=sequence,
+    )
+
+
+def keyed(host, offset=0):
+    return KeyedRecord(host.host_id, msgspec.json.encode(host), offset)
+
+
+def test_the_directory_keeps_the_newest_record_of_each_host():
+    fleet = Fleet("s")
+    directory = HostDirectory(fleet)
+    directory.take([keyed(record("h1", 5, 2)), keyed(record("h2", 5, 0))])
+    late = record("h1", 5, 1, UpstreamState.DRAINING)
+    directory.take([keyed(late)])
+    assert fleet.upstreams_by_host["h1"].state is UpstreamState.SERVING
+    directory.take([keyed(record("h1", 6, 0, UpstreamState.DRAINING))])
+    assert fleet.upstreams_by_host["h1"].state is UpstreamState.DRAINING
+    directory.take([KeyedRecord("h2", b"", 9)])
+    assert set(fleet.upstreams_by_host) == {"h1"}
+
+
+def test_a_record_of_another_writer_names_no_host():
+    fleet = Fleet("s")
+    directory = HostDirectory(fleet)
+    strange = [
+        KeyedRecord("x", b"\xff\x00", 0),
+        KeyedRecord("y", b"{}", 1),
+        KeyedRecord("z", b'{"kind": "upstream-announced", "host_id": 3}', 2),
+    ]
+    directory.take([*strange, keyed(record("h1", 1, 0))])
+    assert set(fleet.upstreams_by_host) == {"h1"}
