--- a/mangospoke/control/transport.py
+++ b/mangospoke/control/transport.py
@@ -5,9 +5,8 @@
 """
 
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, TypeVar
 
 import msgspec
 import pynng
@@ -21,6 +20,12 @@
     proven_secret,
     seal,
 )
+from mangospoke.control.interface import (
+    AnswerType,
+    ControlError,
+    Handler,
+    union_of,
+)
 from mangospoke.control.messages import EpochOver, Message, Rejected
 from mangospoke.control.sockets import MAXIMUM_MESSAGE_BYTES, PeerSockets
 
@@ -49,13 +54,6 @@
 _QUESTION = b"question"
 _ANSWER = b"answer"
 
-Handler = Callable[[Any], Awaitable[Message]]
-AnswerType = TypeVar("AnswerType", bound=Message)
-
-
-class ControlError(Exception):
-    """A peer could not be asked, or its answer isn't to be believed."""
-
 
 def cap_threads() -> None:
     """Caps the threads of the messaging library; call before the first socket."""
@@ -97,17 +95,7 @@
         answer_type: type[AnswerType],
         timeout_s: float,
     ) -> AnswerType:
-        """Asks the daemon at a control address and returns its answer.
-
-        Args:
-            address: The daemon's advertised control address.
-            question: The question.
-            answer_type: The type that the answer must have.
-            timeout_s: Seconds after which the question is given up.
-
-        Raises:
-            ControlError: If no answer came in time, or not a believable one.
-        """
+        """See `Control.ask`."""
         content = msgspec.msgpack.encode(question)
         try:
             with trio.fail_after(timeout_s):
@@ -157,7 +145,7 @@
             address: IP and port to listen on.
             task_status: Told once the socket listens.
         """
-        decoder = msgspec.msgpack.Decoder(_union(self.handlers_by_type))
+        decoder = msgspec.msgpack.Decoder(union_of(self.handlers_by_type))
         self._replay_guard = ReplayGuard()
         self._contexts = 0
         self._spare_contexts = 0
@@ -262,14 +250,6 @@
         self._sockets.close()
 
 
-def _union(handlers_by_type: dict[type[Message], Handler]) -> Any:
-    types = iter(handlers_by_type)
-    union: Any = next(types)
-    for message_type in types:
-        union = union | message_type
-    return union
-
-
 @asynccontextmanager
 async def open_control_plane(
     secret: str,
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -15,7 +15,6 @@
 
 from mangospoke.conf.effective import EffectiveConfiguration
 from mangospoke.conf.settings import Settings
-from mangospoke.control.transport import ControlPlane, cap_threads
 from mangospoke.daemon.hosting import Hosting
 from mangospoke.daemon.supervision import Service, supervise, tame_garbage_collector
 from mangospoke.guard.dialect import UpstreamDialect
@@ -36,6 +35,7 @@
 from mangospoke.observability.logs import configure_logs
 from mangospoke.observability.overload import OverloadWatch
 from mangospoke.peers.client import PeerPool
+from mangospoke.peers.control import PeerControl
 from mangospoke.peers.handshake import Identity
 from mangospoke.peers.server import serve_peer
 from mangospoke.rates.borrowing import BorrowedRates
@@ -127,11 +127,6 @@
             platform.log,
             platform.hosts_topic,
         )
-        self.control = ControlPlane(settings.fleet.secret)
-        self.poison = PoisonControl(
-            settings.host.id, self.fleet, self.control, self.guard.accepts_connections
-        )
-        self.guard.poison = self.poison
         self.ejector = Ejector()
         balancer = Balancer(
             self.fleet,
@@ -147,6 +142,11 @@
         self.peers = PeerPool(
             self.identity, {}, balancer.observe, balancer.observe_transit
         )
+        self.control = PeerControl(self.peers)
+        self.poison = PoisonControl(
+            settings.host.id, self.fleet, self.control, self.guard.accepts_connections
+        )
+        self.guard.poison = self.poison
         resends = promises.resends
         dispatcher = Dispatcher(
             settings.host.id,
@@ -248,7 +248,6 @@
     """
     settings = hosting.settings
     configure_logs(settings.logging, settings.host.id)
-    cap_threads()
     daemon = HostedDaemon(hosting, platform)
     tame_garbage_collector()
     try:
@@ -256,7 +255,6 @@
             for name, service in daemon.services_by_name().items():
                 nursery.start_soon(supervise, name, service)
             acceptors = await _open_acceptors(daemon)
-            await nursery.start(daemon.control.serve, settings.listen.control)
             for acceptor in acceptors:
                 nursery.start_soon(acceptor.serve)
             nursery.start_soon(_stop_when_told, daemon, nursery.cancel_scope)
@@ -266,7 +264,6 @@
     finally:
         daemon.decisions.flush()
         daemon.peers.close()
-        daemon.control.close()
     logger.bind(event="stopped").info("stopped")
 
 
@@ -281,6 +278,7 @@
             daemon.guard.execute,
             daemon.guard.load,
             daemon.connections,
+            daemon.control.answer,
         )
 
     def http_handler(handler: Handler) -> ConnectionHandler:
--- a/mangospoke/guard/at_most_once.py
+++ b/mangospoke/guard/at_most_once.py
@@ -11,8 +11,9 @@
 import trio
 
 from mangospoke.calls import Call, KeyUse
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import ClaimKey, KeyClaimed, NotesRead, ReadNotes
-from mangospoke.control.transport import ControlError, ControlPlane
+from mangospoke.control.transport import ControlPlane
 from mangospoke.guard.claims import (
     ClaimDecision,
     ClaimRegister,
--- a/mangospoke/guard/poison.py
+++ b/mangospoke/guard/poison.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from mangospoke.calls import Call
+from mangospoke.control.interface import Control, ControlError
 from mangospoke.control.messages import (
     ClearSuspect,
     Done,
@@ -21,7 +22,6 @@
     StartTrial,
     TrialAnswer,
 )
-from mangospoke.control.transport import ControlError, ControlPlane
 from mangospoke.guard.home_groups import rank
 from mangospoke.guard.suspects import (
     DEATHS_TO_QUARANTINE,
@@ -85,7 +85,7 @@
     """Suspects, trials and quarantine, as one daemon sees them."""
 
     def __init__(
-        self, host_id: HostId, fleet: Fleet, control: ControlPlane, reach: Reach
+        self, host_id: HostId, fleet: Fleet, control: Control, reach: Reach
     ) -> None:
         self._host_id = host_id
         self._fleet = fleet
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -24,6 +24,8 @@
     Ended,
     EndKind,
     Load,
+    Question,
+    Reply,
     RequestHead,
     ResponseHead,
 )
@@ -122,6 +124,25 @@
             self._put_back(address, connection)
         return outcome
 
+    async def ask(self, address: str, content: bytes) -> bytes:
+        """Sends a control message to the daemon at an address; returns its answer.
+
+        Raises:
+            PeerGoneError: If it can't be reached, or closed the connection.
+            PeerProtocolError: If it answers something else.
+        """
+        connection = await self._connection(address)
+        try:
+            await connection.frames.send(Question(content))
+            reply = await connection.frames.receive()
+            expect(reply, Reply)
+        except BaseException:
+            connection.frames.stream.close()
+            raise
+        self._put_back(address, connection)
+        assert isinstance(reply, Reply)
+        return reply.content
+
     async def reach(self, address: str) -> bool:
         """Whether the daemon at an address takes a connection, which is then kept."""
         try:
--- a/mangospoke/peers/messages.py
+++ b/mangospoke/peers/messages.py
@@ -149,6 +149,22 @@
     load: Load
 
 
+class Question(_Frame, frozen=True, tag=30):
+    """A control message.
+
+    Attributes:
+        content: MessagePack of the message.
+    """
+
+    content: bytes
+
+
+class Reply(_Frame, frozen=True, tag=31):
+    """The answer to a control message."""
+
+    content: bytes
+
+
 Frame = (
     Challenge
     | Proof
@@ -158,4 +174,6 @@
     | BodyEnd
     | ResponseHead
     | Ended
+    | Question
+    | Reply
 )
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -26,6 +26,8 @@
     Ended,
     EndKind,
     Load,
+    Question,
+    Reply,
     RequestHead,
     ResponseHead,
 )
@@ -34,6 +36,13 @@
 
 Executor = Callable[[Call], Awaitable[Outcome]]
 LoadReader = Callable[[], Load]
+Answerer = Callable[[bytes], Awaitable[bytes]]
+"""Answers a control message."""
+
+
+async def answer_nothing(content: bytes) -> bytes:
+    """Refuses control messages where they have a port of their own."""
+    raise PeerProtocolError("control messages aren't taken here")
 
 
 async def serve_peer(
@@ -42,6 +51,7 @@
     execute: Executor,
     read_load: LoadReader,
     context: ConnectionContext,
+    answer: Answerer = answer_nothing,
 ) -> None:
     """Serves one peer's connection: handshake, then one request after another."""
     frames = FrameStream(Stream(stream))
@@ -50,7 +60,7 @@
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
                 await accept_handshake(frames, identity)
-            while await _serve_request(frames, execute, read_load, context):
+            while await _serve_next(frames, execute, read_load, context, answer):
                 pass
         except PeerGoneError:
             return
@@ -58,16 +68,31 @@
             logger.bind(event="peer_rejected").warning("peer rejected: {!r}", error)
 
 
+async def _serve_next(
+    frames: FrameStream,
+    execute: Executor,
+    read_load: LoadReader,
+    context: ConnectionContext,
+    answer: Answerer,
+) -> bool:
+    """Serves one request or question and returns whether another may follow."""
+    frame = await frames.receive()
+    expect(frame, RequestHead, Question)
+    if isinstance(frame, Question):
+        await frames.send(Reply(await answer(frame.content)))
+        return True
+    assert isinstance(frame, RequestHead)
+    return await _serve_request(frames, frame, execute, read_load, context)
+
+
 async def _serve_request(
     frames: FrameStream,
+    head: RequestHead,
     execute: Executor,
     read_load: LoadReader,
     context: ConnectionContext,
 ) -> bool:
     """Serves one request and returns whether another may follow."""
-    head = await frames.receive()
-    expect(head, RequestHead)
-    assert isinstance(head, RequestHead)
     call = _call_of(frames, head)
     with context.work:
         outcome = await _execute(frames, call, execute, context.hang_ups)
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -25,8 +25,7 @@
 """Environment variable with the fleet secret, set in the deploy file."""
 
 _PEER_PORT = 0
-_CONTROL_PORT = 1
-_OPERATIONS_PORT = 2
+_OPERATIONS_PORT = 1
 """Offsets into the range of ports that the platform leaves to the fleet."""
 
 _STORE_TIMEOUT_MS = 1_000
@@ -112,7 +111,7 @@
             public=machine.listen.outbound,
             local=machine.listen.control,
             peer=address(_PEER_PORT),
-            control=address(_CONTROL_PORT),
+            control=address(_PEER_PORT),
             operations=address(_OPERATIONS_PORT),
         ),
         fleet=Fleet(secret=os.environ[SECRET_VARIABLE]),
--- a/mangospoke/rates/asking.py
+++ b/mangospoke/rates/asking.py
@@ -7,8 +7,9 @@
 import trio
 from loguru import logger
 
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import Message, Rejected
-from mangospoke.control.transport import ControlError, ControlPlane
+from mangospoke.control.transport import ControlPlane
 from mangospoke.ids import FailureDomainId, HostId
 from mangospoke.rates.admission import Admission
 from mangospoke.rates.bucket import TokenBucket
--- a/mangospoke/rates/borrowing.py
+++ b/mangospoke/rates/borrowing.py
@@ -7,8 +7,8 @@
 from loguru import logger
 
 from mangospoke.conf.effective import EffectiveAccount
+from mangospoke.control.interface import Control, ControlError
 from mangospoke.control.messages import Message
-from mangospoke.control.transport import ControlError, ControlPlane
 from mangospoke.ids import ClientAccountId, HostId
 from mangospoke.rates.lending import LendingShares
 from mangospoke.rates.messages import BorrowTokens, TokensLent
@@ -35,7 +35,7 @@
         self,
         host_id: HostId,
         fleet: Fleet,
-        control: ControlPlane,
+        control: Control,
         shares: LendingShares,
         clock: Callable[[], int] = read_clock,
     ) -> None:
--- a/mangospoke/rates/service.py
+++ b/mangospoke/rates/service.py
@@ -8,8 +8,9 @@
 
 from mangospoke.conf.effective import EffectiveAccount
 from mangospoke.conf.settings import Settings
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import Message
-from mangospoke.control.transport import ControlError, ControlPlane
+from mangospoke.control.transport import ControlPlane
 from mangospoke.ids import ClientAccountId, FailureDomainId, Incarnation
 from mangospoke.logservice.client import LogClient
 from mangospoke.rates.asking import GrantAsker
--- a/mangospoke/rates/succession.py
+++ b/mangospoke/rates/succession.py
@@ -7,7 +7,8 @@
 import trio
 from loguru import logger
 
-from mangospoke.control.transport import ControlError, ControlPlane
+from mangospoke.control.interface import ControlError
+from mangospoke.control.transport import ControlPlane
 from mangospoke.ids import FailureDomainId
 from mangospoke.rates.candidates import is_leaving, rank_candidates, rank_of
 from mangospoke.rates.following import SharesFollower
--- a/mangospoke/routing/probing.py
+++ b/mangospoke/routing/probing.py
@@ -6,8 +6,8 @@
 import trio
 from loguru import logger
 
+from mangospoke.control.interface import Control, ControlError
 from mangospoke.control.messages import Probe, ProbeAnswer
-from mangospoke.control.transport import ControlError, ControlPlane
 from mangospoke.ids import HostId
 from mangospoke.routing.ejection import Ejector
 from mangospoke.state.fleet import Fleet
@@ -32,7 +32,7 @@
         await trio.sleep(_INTERVAL_S * random.uniform(0.5, 1.5))
 
 
-def probe_by_control(fleet: Fleet, control: ControlPlane) -> IsAlive:
+def probe_by_control(fleet: Fleet, control: Control) -> IsAlive:
     """Makes a probe that asks a host's daemon by a control message."""
 
     async def is_alive(host_id: HostId) -> bool:
@@ -41,7 +41,7 @@
     return is_alive
 
 
-async def _is_alive(fleet: Fleet, host_id: HostId, control: ControlPlane) -> bool:
+async def _is_alive(fleet: Fleet, host_id: HostId, control: Control) -> bool:
     upstream = fleet.membership_state.upstreams_by_host.get(host_id)
     if upstream is None:
         return False
--- a/mangospoke/state/configuration_source.py
+++ b/mangospoke/state/configuration_source.py
@@ -12,8 +12,8 @@
 from loguru import logger
 
 from mangospoke.conf.effective import EffectiveConfiguration
+from mangospoke.control.interface import Control, ControlError
 from mangospoke.control.messages import AskConfiguration, ConfigurationTold, Message
-from mangospoke.control.transport import ControlError, ControlPlane
 from mangospoke.ids import HostId
 from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.state.fleet import Fleet
@@ -37,7 +37,7 @@
         host_id: HostId,
         fleet: Fleet,
         freshness: Freshness,
-        control: ControlPlane,
+        control: Control,
         key: str,
         read: ConfigurationReader,
         read_clock: Callable[[], float] = read_boot_clock,
--- a/mangospoke/state/following.py
+++ b/mangospoke/state/following.py
@@ -11,8 +11,9 @@
 import trio
 from loguru import logger
 
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import ReadStreams, StreamsRead
-from mangospoke.control.transport import ControlError, ControlPlane
+from mangospoke.control.transport import ControlPlane
 from mangospoke.logservice.client import (
     LogClient,
     LogUnavailableError,
--- a/mangospoke/state/liveness.py
+++ b/mangospoke/state/liveness.py
@@ -11,13 +11,14 @@
 import trio
 from loguru import logger
 
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import (
     ConfirmUnreachable,
     Probe,
     ProbeAnswer,
     Reachability,
 )
-from mangospoke.control.transport import ControlError, ControlPlane
+from mangospoke.control.transport import ControlPlane
 from mangospoke.ids import HostId
 from mangospoke.logservice.records import UpstreamAnnounced, UpstreamLeft
 from mangospoke.state.neighbourhood import Neighbourhood
--- a/mangospoke/state/writer.py
+++ b/mangospoke/state/writer.py
@@ -7,8 +7,9 @@
 import trio
 from loguru import logger
 
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import MembershipShared, ShareMembership
-from mangospoke.control.transport import ControlError, ControlPlane
+from mangospoke.control.transport import ControlPlane
 from mangospoke.ids import FailureDomainId, HostId
 from mangospoke.logservice.client import (
     LogClient,
--- a/tests/control/test_transport.py
+++ b/tests/control/test_transport.py
@@ -6,8 +6,8 @@
 import trio
 
 from mangospoke.bench.waiting import wait_until
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import Probe, ProbeAnswer
-from mangospoke.control.transport import ControlError
 
 ADDRESS = "127.5.1.1:7411"
 
--- a/tests/rates/fake_fleet.py
+++ b/tests/rates/fake_fleet.py
@@ -9,8 +9,8 @@
 from mangospoke.bench.rate_histories import Decision
 from mangospoke.conf.declarations import FailureDomain
 from mangospoke.conf.effective import EffectiveAccount, EffectiveConfiguration
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import Message
-from mangospoke.control.transport import ControlError
 from mangospoke.logservice.client import LogUnavailableError
 from mangospoke.logservice.protocol import ReadAnswer, StoredRecord
 from mangospoke.logservice.records import (
--- a/tests/state/test_configuration_source.py
+++ b/tests/state/test_configuration_source.py
@@ -4,8 +4,8 @@
 import trio
 
 from mangospoke.conf.effective import EffectiveConfiguration
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import AskConfiguration, ConfigurationTold
-from mangospoke.control.transport import ControlError
 from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.logservice.records import UpstreamAnnounced
 from mangospoke.state.configuration_source import ConfigurationSource
--- a/tests/state/test_liveness.py
+++ b/tests/state/test_liveness.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import (
     ConfirmUnreachable,
     Probe,
     ProbeAnswer,
     Reachability,
 )
-from mangospoke.control.transport import ControlError
 from mangospoke.state.liveness import LivenessProber
 from tests.state.records import announced
 
