--- a/mangospoke/calls.py
+++ b/mangospoke/calls.py
@@ -77,6 +77,7 @@
         earlier: The last earlier attempt that may have run, if there was one.
         key_use: What the idempotency key demands.
         sent_to: The daemon that it was last sent to, in which of its lives.
+        version: Configuration by which it was authenticated.
     """
 
     request_id: RequestId
@@ -97,6 +98,7 @@
     earlier: Unanswered | None = None
     key_use: KeyUse = field(default=KeyUse.NONE)
     sent_to: tuple[HostId, Incarnation] | None = field(default=None)
+    version: int = 0
 
     @property
     def may_have_run(self) -> bool:
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -130,9 +130,11 @@
         self.admission.admit_waiting()
 
     def _is_key_withdrawn(self, call: Call) -> bool:
-        if call.key_id is None:
+        configuration = self._fleet.configuration
+        # Whoever authenticated it by a newer version may know keys unknown here.
+        if call.key_id is None or call.version >= configuration.version:
             return False
-        key = self._fleet.configuration.keys_by_id.get(call.key_id)
+        key = configuration.keys_by_id.get(call.key_id)
         return key is None or key.withdrawn
 
     async def accepts_connections(self) -> bool:
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -134,6 +134,7 @@
             idempotent=route.idempotent,
             idempotency_key=None,
             retries=RetryAllowance(route.retries),
+            version=self._fleet.configuration.version,
         )
 
     def _refuse(
--- a/mangospoke/ingress/public.py
+++ b/mangospoke/ingress/public.py
@@ -75,6 +75,7 @@
         call = root_call(request, route, account_id, key_id, self._domain)
         if isinstance(call, Refused):
             return self._refuse(call, account_id, route.service)
+        call.version = configuration.version
         account = configuration.accounts_by_id.get(account_id)
         over_rate = None if account is None else await self._quota(account)
         if over_rate is not None:
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -265,6 +265,7 @@
         body=call.body.content,
         body_length=call.body.length,
         key_use=int(call.key_use),
+        version=call.version,
     )
 
 
--- a/mangospoke/peers/messages.py
+++ b/mangospoke/peers/messages.py
@@ -63,6 +63,7 @@
         body: The whole body, or None if `BodyChunk` frames follow.
         body_length: Length of a streamed body if known.
         key_use: Value of the call's `KeyUse`.
+        version: Configuration by which the request was authenticated.
     """
 
     request_id: RequestId
@@ -81,6 +82,7 @@
     body: bytes | None
     body_length: int | None = None
     key_use: int = 0
+    version: int = 0
 
 
 class BodyChunk(_Frame, frozen=True, tag=11):
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -119,6 +119,7 @@
         idempotency_key=head.idempotency_key,
         retries=RetryAllowance(head.retries),
         key_use=KeyUse(head.key_use),
+        version=head.version,
     )
 
 
