--- a/mangospoke/calls.py
+++ b/mangospoke/calls.py
@@ -78,6 +78,8 @@
         key_use: What the idempotency key demands.
         sent_to: The daemon that it was last sent to, in which of its lives.
         version: Configuration by which it was authenticated.
+        is_sub_call: Whether an upstream makes it for a request that it runs, so
+            that work is lost above it if it is refused.
     """
 
     request_id: RequestId
@@ -99,6 +101,7 @@
     key_use: KeyUse = field(default=KeyUse.NONE)
     sent_to: tuple[HostId, Incarnation] | None = field(default=None)
     version: int = 0
+    is_sub_call: bool = False
 
     @property
     def may_have_run(self) -> bool:
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -170,8 +170,10 @@
             hosting.upstream_service,
             self.rates.admit,
             dispatcher,
+            balancer.pressure,
             self.decisions,
         )
+        self.guard.read_deep_pressure = self.entrance.deep_pressure
         self.handle_heartbeat = platform.heartbeat_handler(self.registrar.take)
         self.connections = ConnectionContext(
             settings.limits, WorkCounter(), HangUpMonitor()
--- a/mangospoke/guard/admission.py
+++ b/mangospoke/guard/admission.py
@@ -95,7 +95,9 @@
     async def _wait(self, waiter: Waiter) -> Place | Refused:
         call = waiter.call
         latest = call.deadline - self._times.least_s(call.route)
-        until = min(latest, waiter.enqueued_at + LONGEST_WAIT_S)
+        until = latest
+        if not call.is_sub_call:
+            until = min(latest, waiter.enqueued_at + LONGEST_WAIT_S)
         try:
             with trio.move_on_at(until):
                 await waiter.event.wait()
--- a/mangospoke/guard/fair_queue.py
+++ b/mangospoke/guard/fair_queue.py
@@ -83,19 +83,27 @@
 
 
 class _AccountQueue:
-    """Calls of one account and one importance."""
+    """Calls of one account and one importance.
 
-    __slots__ = ("account_id", "busy_since", "entry", "live", "waiters")
+    Attributes:
+        is_patient: Whether its calls wait as long as they can, oldest first, since
+            the requests that they belong to run already.
+    """
+
+    __slots__ = ("account_id", "busy_since", "entry", "is_patient", "live", "waiters")
 
-    def __init__(self, account_id: ClientAccountId) -> None:
+    def __init__(self, account_id: ClientAccountId, is_patient: bool) -> None:
         self.account_id = account_id
+        self.is_patient = is_patient
         self.waiters: deque[Waiter] = deque()
         self.live = 0
         self.busy_since = 0.0
         self.entry = -1
 
     def is_standing(self, now: float) -> bool:
-        return self.live > 0 and now - self.busy_since > _STANDING_AFTER_S
+        if self.is_patient or self.live == 0:
+            return False
+        return now - self.busy_since > _STANDING_AFTER_S
 
     def skip_settled(self) -> None:
         while self.waiters and self.waiters[0].is_settled:
@@ -190,7 +198,7 @@
         if self.live >= QUEUE_LENGTH and not self._make_room(call.importance, length):
             return Refused(RefusalReason.QUEUE_FULL, "the queue is full")
         if queue is None:
-            queue = _AccountQueue(call.account_id)
+            queue = _AccountQueue(call.account_id, call.is_sub_call)
             queues.queues_by_account[call.account_id] = queue
         if queue.live == 0:
             queue.busy_since = waiter.enqueued_at
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from mangospoke.announcements import Announcement
@@ -43,6 +44,7 @@
         announcement: What the upstream last announced, or None.
         draining: Whether the upstream is leaving; it takes what peers still send
             for a short notice, then nothing.
+        read_deep_pressure: Reads the highest pressure of the services below.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         self.draining = False
         self.admission = Admission()
         self.poison: PoisonControl | None = None
+        self.read_deep_pressure: Callable[[], float] = _no_pressure
         self._refuses_from = math.inf
         self._fleet = fleet
         self._limits = limits
@@ -174,8 +177,12 @@
         self._connections = None
 
     def load(self) -> Load:
-        """How loaded the upstream is now."""
-        return self.admission.load()
+        """How loaded the upstream is now, and what it calls."""
+        load = self.admission.load()
+        deep_pressure = self.read_deep_pressure()
+        if deep_pressure == 0:
+            return load
+        return msgspec.structs.replace(load, deep_pressure=deep_pressure)
 
     async def execute(self, call: Call) -> Outcome:
         """Admits a call, runs it in the upstream and returns what became of it."""
@@ -270,6 +277,10 @@
         self._decisions.guarded(call, outcome)
 
 
+def _no_pressure() -> float:
+    return 0.0
+
+
 def _deadline_exceeded(call: Call) -> Outcome:
     if call.progress is Progress.SENT:
         return Unanswered(FailureReason.DEADLINE_EXCEEDED, "no answer in time")
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -1,5 +1,9 @@
 """The entrance of a hosted daemon: callers and this host's upstream on one address."""
 
+import math
+import random
+from collections.abc import Callable
+
 import trio
 
 from mangospoke.calls import Call, RetryAllowance
@@ -15,6 +19,7 @@
 from mangospoke.ingress.dialect import CallerDialect, CallerFields
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.ingress.public import Quota
+from mangospoke.ingress.shedding import RootShedding, come_back_s
 from mangospoke.ingress.splitting import WeightedSplit
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.state.fleet import Fleet
@@ -22,6 +27,10 @@
 from mangospoke.verdicts import Outcome, RefusalReason, Refused
 
 _NO_SERVICE = ServiceName("")
+_CALLED_S = 5.0
+"""Time for which a service counts as called by this host's upstream."""
+
+_DEEP_READ_INTERVAL_S = 0.03
 
 
 class HostedEntrance:
@@ -40,6 +49,7 @@
         service: ServiceName,
         quota: Quota,
         dispatcher: Dispatcher,
+        read_pressure: Callable[[ServiceName], float],
         decisions: DecisionLog,
     ) -> None:
         self.closing = False
@@ -49,8 +59,14 @@
         self._service = service
         self._quota = quota
         self._dispatcher = dispatcher
+        self._read_pressure = read_pressure
         self._decisions = decisions
         self._split = WeightedSplit()
+        self._shedding = RootShedding()
+        self._source = random.Random()
+        self._called_at: dict[ServiceName, float] = {}
+        self._deep_pressure = 0.0
+        self._deep_read_at = -math.inf
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Authenticates a request, holds it to its account's rate and dispatches it."""
@@ -74,8 +90,47 @@
             if over_rate is not None:
                 return self._refuse(over_rate, account.account_id, service)
         call = self._call(request, fields, route, service, account)
+        if call.is_sub_call:
+            self._called_at[service] = trio.current_time()
+        else:
+            shed = self._shed(call)
+            if shed is not None:
+                return self._refuse(shed, call.account_id, service)
         return await self._dispatcher.dispatch_recorded(call)
 
+    def _shed(self, call: Call) -> Refused | None:
+        """Refuses a request for whose calls there is no room below."""
+        share = self._shedding.refused_share(
+            call.service,
+            call.importance,
+            self._read_pressure(call.service),
+            trio.current_time(),
+        )
+        if share == 0 or self._source.random() >= share:
+            return None
+        wait_s = come_back_s(call.importance, self._source.random())
+        detail = "a service that it needs has no room"
+        return Refused(RefusalReason.OVERLOADED_BELOW, detail, wait_s)
+
+    def deep_pressure(self) -> float:
+        """Highest pressure of the services that this host's upstream calls.
+
+        It is read anew now and then; in between it answers at once, also if a
+        service calls itself and asks for its own pressure.
+        """
+        now = trio.current_time()
+        if now >= self._deep_read_at + _DEEP_READ_INTERVAL_S:
+            self._deep_read_at = now
+            self._deep_pressure = max(
+                (
+                    self._read_pressure(service)
+                    for service, called_at in self._called_at.items()
+                    if called_at > now - _CALLED_S
+                ),
+                default=0.0,
+            )
+        return self._deep_pressure
+
     def _match(
         self,
         request: HttpRequest,
@@ -135,6 +190,8 @@
             idempotency_key=None,
             retries=RetryAllowance(route.retries),
             version=self._fleet.configuration.version,
+            # Whoever sends it, nobody but an upstream has a request depend on it.
+            is_sub_call=account is None,
         )
 
     def _refuse(
--- a/mangospoke/observability/decisions.py
+++ b/mangospoke/observability/decisions.py
@@ -28,7 +28,7 @@
 _WRITE_DELAY_S = 0.005
 """Time by which lines are written later than what they tell of."""
 
-_LINES_PER_SECOND = 50
+_LINES_PER_SECOND = 10
 """Lines a second written for one kind of event; more are only counted."""
 
 
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -266,6 +266,7 @@
         body_length=call.body.length,
         key_use=int(call.key_use),
         version=call.version,
+        is_sub_call=call.is_sub_call,
     )
 
 
--- a/mangospoke/peers/messages.py
+++ b/mangospoke/peers/messages.py
@@ -64,6 +64,7 @@
         body_length: Length of a streamed body if known.
         key_use: Value of the call's `KeyUse`.
         version: Configuration by which the request was authenticated.
+        is_sub_call: Whether an upstream makes it for a request that it runs.
     """
 
     request_id: RequestId
@@ -83,6 +84,7 @@
     body_length: int | None = None
     key_use: int = 0
     version: int = 0
+    is_sub_call: bool = False
 
 
 class BodyChunk(_Frame, frozen=True, tag=11):
@@ -103,12 +105,20 @@
         queued: Requests in the queue now.
         limit: Concurrency limit in force now.
         queue_delay_ms: Time that requests now wait in the queue.
+        deep_pressure: Highest pressure of the services that the upstream calls, and
+            of those that they call.
     """
 
     in_flight: int
     queued: int
     limit: int
     queue_delay_ms: float
+    deep_pressure: float = 0.0
+
+    @property
+    def pressure(self) -> float:
+        """Requests running and waiting, over what the upstream can run."""
+        return (self.in_flight + self.queued) / max(1, self.limit)
 
 
 class ResponseHead(_Frame, frozen=True, tag=20):
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -120,6 +120,7 @@
         retries=RetryAllowance(head.retries),
         key_use=KeyUse(head.key_use),
         version=head.version,
+        is_sub_call=head.is_sub_call,
     )
 
 
--- a/mangospoke/rates/borrowing.py
+++ b/mangospoke/rates/borrowing.py
@@ -16,13 +16,13 @@
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import RefusalReason, Refused
 
-_TICK_S = 0.05
+_TICK_S = 0.1
 _LONGEST_TICK_S = 0.4
 """Time between questions; the longest after several that brought nothing."""
 
-_HOSTS_ASKED = 4
+_HOSTS_ASKED = 3
 _TIMEOUT_S = 0.25
-_LONGEST_WAIT_S = 0.1
+_LONGEST_WAIT_S = 0.15
 """Time for which a request waits for a token that may be lent."""
 
 _WAITING_REQUESTS = 16
@@ -98,7 +98,7 @@
                 self._short = trio.Event()
                 await self._short.wait()
                 # Requests come in groups: the first must not ask alone for all.
-                await trio.sleep(_TICK_S / 10)
+                await trio.sleep(_TICK_S / 20)
             now = self._clock()
             self._shares.smooth(now)
             if self._shares.wants(now):
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -103,6 +103,28 @@
         """Takes the measured time one way to a daemon, in seconds."""
         self._transit_by_address[address] = transit_s
 
+    def pressure(self, service: ServiceName) -> float:
+        """Mean pressure of a service's upstreams, or of what lies below if higher.
+
+        Upstreams of which nothing fresh is known don't count; 0 if all are such.
+        """
+        candidates = self._candidates(service)
+        total = deep = 0.0
+        count = 0
+        for upstream in (*candidates.near, *candidates.far):
+            load = self._load_of(upstream)
+            if load is not None:
+                total += load.pressure
+                deep += load.deep_pressure
+                count += 1
+        return max(total, deep) / count if count else 0.0
+
+    def _load_of(self, upstream: UpstreamAnnounced) -> Load | None:
+        if upstream.host_id == self._host_id:
+            return self._read_own_load()
+        observed = self._fresh(upstream)
+        return None if observed is None else observed.load
+
     def count(self, service: ServiceName) -> int:
         """How many upstreams of a service are known."""
         return len(self._fleet.upstreams_by_service.get(service, {}))
--- a/mangospoke/verdicts.py
+++ b/mangospoke/verdicts.py
@@ -39,6 +39,7 @@
     QUEUE_FULL = "queue-full"
     SHED_FOR_IMPORTANCE = "shed-for-importance"
     SHED_BY_UPSTREAM = "shed-by-upstream"
+    OVERLOADED_BELOW = "overloaded-below"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     NO_UPSTREAM = "no-upstream"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
@@ -117,6 +118,7 @@
         503, retry_after_s=2, retryable=True
     ),
     RefusalReason.SHED_BY_UPSTREAM: RefusalRule(503, retry_after_s=1, retryable=True),
+    RefusalReason.OVERLOADED_BELOW: RefusalRule(503, retry_after_s=1),
     RefusalReason.DEADLINE_EXCEEDED: RefusalRule(504),
     RefusalReason.NO_UPSTREAM: RefusalRule(503, retry_after_s=2),
     RefusalReason.UPSTREAM_UNREACHABLE: RefusalRule(
@@ -129,7 +131,7 @@
     RefusalReason.QUARANTINED: RefusalRule(422),
     RefusalReason.IDEMPOTENCY_KEY_REUSED: RefusalRule(409),
     RefusalReason.IDEMPOTENCY_STORE_FULL: RefusalRule(503, retry_after_s=5),
-    RefusalReason.NOT_CONFIGURED: RefusalRule(503, retry_after_s=5),
+    RefusalReason.NOT_CONFIGURED: RefusalRule(503, retry_after_s=1),
     RefusalReason.CANCELLED: RefusalRule(499),
 }
 
