--- a/mangospoke/rates/lending.py
+++ b/mangospoke/rates/lending.py
@@ -7,8 +7,9 @@
 that is cut off keeps its own share and no more.
 
 Borrowed tokens may exceed the borrower's own burst, while the lender's bucket fills
-again; they end soon, so that the sum exceeds the burst by what the rate earns in
-that time at most. The burst that is split is smaller by as much.
+again; soon they end, but for what the own bucket has room for, so that the sum exceeds
+the burst by what the rate earns in that time at most. The burst that is split is
+smaller by as much.
 """
 
 import math
@@ -83,12 +84,14 @@
     def borrowed_milli(self, now: int) -> int:
         """Thousandths of borrowed tokens that have not ended."""
         while self.borrowed and self.borrowed[0][0] <= now:
-            self.borrowed.popleft()
+            # What the own bucket has room for stays, as if it had been earned here.
+            self.bucket.add(now, self.borrowed.popleft()[1])
         return sum(milli for _, milli in self.borrowed)
 
     def level(self, now: int) -> int:
         """Thousandths of a token that may be used now."""
-        return self.bucket.level(now) + self.borrowed_milli(now)
+        borrowed = self.borrowed_milli(now)
+        return borrowed + self.bucket.level(now)
 
     def take(self, now: int) -> bool:
         """Takes one token, what ends first before the own."""
--- a/tests/rates/test_lending.py
+++ b/tests/rates/test_lending.py
@@ -174,3 +174,13 @@
     assert shares.take(high, 1)
     taken = sum(shares.take(low, 2) for _ in range(50))
     assert taken <= 1
+
+
+@pytest.mark.parametrize("rate", [10, 30, 63])
+@pytest.mark.parametrize("seed", range(3))
+def test_what_is_asked_beyond_the_rate_takes_nothing_from_the_rate(rate, seed):
+    # Load pattern: an account asks for a fifth more than its rate for 30 s.
+    world = World(make_account(rate, rate), 13, Excess(0.1, 20), seed)
+    world.run(30, [rate * 1.2 / 13] * 13)
+    assert len(world.admitted_at) >= 30 * rate
+    assert world.most_in(5 * NS_PER_S) <= (5 * rate + rate) * 1.1 + 20
