--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -170,10 +170,10 @@
             hosting.upstream_service,
             self.rates.admit,
             dispatcher,
-            balancer.pressure,
+            balancer.delay_s,
             self.decisions,
         )
-        self.guard.read_deep_pressure = self.entrance.deep_pressure
+        self.guard.read_deep_delay_s = self.entrance.deep_delay_s
         self.handle_heartbeat = platform.heartbeat_handler(self.registrar.take)
         self.connections = ConnectionContext(
             settings.limits, WorkCounter(), HangUpMonitor()
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -44,7 +44,7 @@
         announcement: What the upstream last announced, or None.
         draining: Whether the upstream is leaving; it takes what peers still send
             for a short notice, then nothing.
-        read_deep_pressure: Reads the highest pressure of the services below.
+        read_deep_delay_s: Reads the highest queue delay of the services below.
     """
 
     def __init__(
@@ -60,7 +60,7 @@
         self.draining = False
         self.admission = Admission()
         self.poison: PoisonControl | None = None
-        self.read_deep_pressure: Callable[[], float] = _no_pressure
+        self.read_deep_delay_s: Callable[[], float] = _no_delay
         self._refuses_from = math.inf
         self._fleet = fleet
         self._limits = limits
@@ -179,10 +179,10 @@
     def load(self) -> Load:
         """How loaded the upstream is now, and what it calls."""
         load = self.admission.load()
-        deep_pressure = self.read_deep_pressure()
-        if deep_pressure == 0:
+        delay_s = self.read_deep_delay_s()
+        if delay_s == 0:
             return load
-        return msgspec.structs.replace(load, deep_pressure=deep_pressure)
+        return msgspec.structs.replace(load, deep_delay_ms=delay_s * 1000)
 
     async def execute(self, call: Call) -> Outcome:
         """Admits a call, runs it in the upstream and returns what became of it."""
@@ -277,7 +277,7 @@
         self._decisions.guarded(call, outcome)
 
 
-def _no_pressure() -> float:
+def _no_delay() -> float:
     return 0.0
 
 
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -49,7 +49,7 @@
         service: ServiceName,
         quota: Quota,
         dispatcher: Dispatcher,
-        read_pressure: Callable[[ServiceName], float],
+        read_delay_s: Callable[[ServiceName], float],
         decisions: DecisionLog,
     ) -> None:
         self.closing = False
@@ -59,13 +59,13 @@
         self._service = service
         self._quota = quota
         self._dispatcher = dispatcher
-        self._read_pressure = read_pressure
+        self._read_delay_s = read_delay_s
         self._decisions = decisions
         self._split = WeightedSplit()
         self._shedding = RootShedding()
         self._source = random.Random()
         self._called_at: dict[ServiceName, float] = {}
-        self._deep_pressure = 0.0
+        self._deep_delay_s = 0.0
         self._deep_read_at = -math.inf
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
@@ -103,7 +103,7 @@
         share = self._shedding.refused_share(
             call.service,
             call.importance,
-            self._read_pressure(call.service),
+            self._read_delay_s(call.service),
             trio.current_time(),
         )
         if share == 0 or self._source.random() >= share:
@@ -112,24 +112,24 @@
         detail = "a service that it needs has no room"
         return Refused(RefusalReason.OVERLOADED_BELOW, detail, wait_s)
 
-    def deep_pressure(self) -> float:
-        """Highest pressure of the services that this host's upstream calls.
+    def deep_delay_s(self) -> float:
+        """Highest queue delay of the services that this host's upstream calls.
 
         It is read anew now and then; in between it answers at once, also if a
-        service calls itself and asks for its own pressure.
+        service calls itself and asks for its own delay.
         """
         now = trio.current_time()
         if now >= self._deep_read_at + _DEEP_READ_INTERVAL_S:
             self._deep_read_at = now
-            self._deep_pressure = max(
+            self._deep_delay_s = max(
                 (
-                    self._read_pressure(service)
+                    self._read_delay_s(service)
                     for service, called_at in self._called_at.items()
                     if called_at > now - _CALLED_S
                 ),
                 default=0.0,
             )
-        return self._deep_pressure
+        return self._deep_delay_s
 
     def _match(
         self,
--- a/mangospoke/ingress/shedding.py
+++ b/mangospoke/ingress/shedding.py
@@ -6,7 +6,7 @@
 first, just as many as keep the deepest service full and its queue short.
 
 How many is controlled, not computed, since the calls that a request makes are not
-known: a level rises while the pressure below is too high and falls while it is not.
+known: a level rises while the queue delay below is too long and falls while it isn't.
 """
 
 import math
@@ -14,14 +14,19 @@
 from mangospoke.conf.declarations import Importance
 from mangospoke.ids import ServiceName
 
-TARGET_PRESSURE = 0.95
-"""Calls in the fullest service below, running and waiting, over what it can run."""
+TARGET_DELAY_S = 0.03
+"""Queue delay of the fullest service below at which as much is let in as leaves it.
 
-_GAIN_PER_S = 2.0
-"""Rise of the level a second and unit of pressure beyond the target."""
+A request waits so long for each of its calls that follow each other.
+"""
+
+_GAIN_PER_S = 1.0
+"""Rise of the level a second, for each target delay beyond the target."""
 
 _FALL_PER_S = 1.0
-_HIGHEST_PRESSURE = 2.0
+_LARGEST_EXCESS = 2.0
+"""Target delays beyond the target from which on the level rises no faster."""
+
 _LONGEST_STEP_S = 0.25
 _SEEN_S = 5.0
 """Time for which an importance counts after its last request."""
@@ -60,7 +65,7 @@
         self,
         service: ServiceName,
         importance: Importance,
-        pressure: float,
+        delay_s: float,
         now: float,
     ) -> float:
         """Share of such requests that is to be refused now.
@@ -68,14 +73,14 @@
         Args:
             service: The service that the request is for.
             importance: Of the request.
-            pressure: Highest pressure of the service and of those below it.
+            delay_s: Highest queue delay of the service and of those below it.
             now: The time.
         """
         level = self._levels_by_service.get(service)
         if level is None:
             level = self._levels_by_service[service] = _Level(now)
         level.seen_at[importance] = now
-        self._move(level, pressure, now)
+        self._move(level, delay_s, now)
         rank = sum(
             1
             for other, seen_at in level.seen_at.items()
@@ -83,10 +88,10 @@
         )
         return min(1.0, max(0.0, level.value - rank))
 
-    def _move(self, level: _Level, pressure: float, now: float) -> None:
+    def _move(self, level: _Level, delay_s: float, now: float) -> None:
         step_s = min(now - level.at, _LONGEST_STEP_S)
         level.at = now
-        beyond = min(pressure, _HIGHEST_PRESSURE) - TARGET_PRESSURE
+        beyond = min(delay_s / TARGET_DELAY_S - 1, _LARGEST_EXCESS)
         gain = _GAIN_PER_S if beyond > 0 else _FALL_PER_S
         value = level.value + gain * beyond * step_s
         count = sum(now - seen_at < _SEEN_S for seen_at in level.seen_at.values())
--- a/mangospoke/peers/messages.py
+++ b/mangospoke/peers/messages.py
@@ -105,20 +105,15 @@
         queued: Requests in the queue now.
         limit: Concurrency limit in force now.
         queue_delay_ms: Time that requests now wait in the queue.
-        deep_pressure: Highest pressure of the services that the upstream calls, and
-            of those that they call.
+        deep_delay_ms: Highest queue delay of the services that the upstream calls,
+            and of those that they call.
     """
 
     in_flight: int
     queued: int
     limit: int
     queue_delay_ms: float
-    deep_pressure: float = 0.0
-
-    @property
-    def pressure(self) -> float:
-        """Requests running and waiting, over what the upstream can run."""
-        return (self.in_flight + self.queued) / max(1, self.limit)
+    deep_delay_ms: float = 0.0
 
 
 class ResponseHead(_Frame, frozen=True, tag=20):
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -103,8 +103,8 @@
         """Takes the measured time one way to a daemon, in seconds."""
         self._transit_by_address[address] = transit_s
 
-    def pressure(self, service: ServiceName) -> float:
-        """Mean pressure of a service's upstreams, or of what lies below if higher.
+    def delay_s(self, service: ServiceName) -> float:
+        """Mean queue delay at a service's upstreams, or below them if higher.
 
         Upstreams of which nothing fresh is known don't count; 0 if all are such.
         """
@@ -114,10 +114,10 @@
         for upstream in (*candidates.near, *candidates.far):
             load = self._load_of(upstream)
             if load is not None:
-                total += load.pressure
-                deep += load.deep_pressure
+                total += load.queue_delay_ms
+                deep += load.deep_delay_ms
                 count += 1
-        return max(total, deep) / count if count else 0.0
+        return max(total, deep) / count / 1000 if count else 0.0
 
     def _load_of(self, upstream: UpstreamAnnounced) -> Load | None:
         if upstream.host_id == self._host_id:
