--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -8,7 +8,7 @@
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 from loguru import logger
@@ -71,7 +71,7 @@
 _STOP_NOTICE_S = 2.2
 """Time in which the platform notices that the host isn't ready any more."""
 
-_STOP_MARGIN_S = 0.7
+_STOP_MARGIN_S = 1.2
 _LAST_REQUESTS_S = 0.2
 
 
@@ -85,6 +85,7 @@
         hosts_topic: Keyed topic for the hosts' records.
         read_configuration: Reads a configuration; None if it can't be used.
         heartbeat_handler: Makes the handler of the upstream's heartbeats.
+        read_hosting: Reads the settings anew.
     """
 
     log: KeyedLog
@@ -95,6 +96,7 @@
     caller_dialect: CallerDialect
     upstream_dialect: UpstreamDialect
     heartbeat_handler: Callable[[Callable[[Heartbeat], bool]], Handler]
+    read_hosting: Callable[[], Hosting]
 
 
 class HostedDaemon:
@@ -198,6 +200,15 @@
             platform.log, platform.hosts_topic, self.directory.take, _HOSTS_WAIT_MS
         )
 
+    def reload(self, hosting: Hosting) -> None:
+        """Puts new promises in force; all else takes a restart."""
+        before, self.hosting = self.hosting, hosting
+        self.freshness.longest_s = hosting.promises.withdrawal_s * _FRESHNESS_SHARE
+        waits = replace(before, promises=hosting.promises) != hosting
+        logger.bind(event="reloaded", needs_restart=waits).info(
+            "settings are read anew{}", "; some wait for a restart" if waits else ""
+        )
+
     def _count_hosts(self) -> int:
         return len(self.directory)
 
@@ -260,6 +271,7 @@
             for acceptor in acceptors:
                 nursery.start_soon(acceptor.serve)
             nursery.start_soon(_stop_when_told, daemon, nursery.cancel_scope)
+            nursery.start_soon(_reload_when_told, daemon, platform.read_hosting)
             logger.bind(event="started", service=hosting.upstream_service).info(
                 "serving {}", hosting.callers_address
             )
@@ -312,6 +324,20 @@
     scope.cancel()
 
 
+async def _reload_when_told(
+    daemon: HostedDaemon, read_hosting: Callable[[], Hosting]
+) -> None:
+    """Reads the settings anew on SIGHUP; what runs goes on meanwhile."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            try:
+                daemon.reload(read_hosting())
+            except (OSError, ValueError) as error:
+                logger.bind(event="settings_unreadable").error(
+                    "the settings can't be read; those in force stay: {}", error
+                )
+
+
 async def _drain(daemon: HostedDaemon) -> None:
     """Serves until callers and peers have turned away, and finishes what runs."""
     daemon.registrar.stop()
--- a/mangospoke/platform/__main__.py
+++ b/mangospoke/platform/__main__.py
@@ -1,5 +1,7 @@
 """The program that runs on the users' machines: `python3 -m mangospoke.platform`."""
 
+import signal
+
 import trio
 
 from mangospoke.daemon.hosted import Platform, run_hosted
@@ -13,6 +15,8 @@
 
 def main() -> None:
     """Runs a hosted daemon on a machine of the platform."""
+    # Until the daemon takes it, an order to reload has nothing to do.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     hosting = read_settings()
     trio.run(run_hosted, hosting, open_platform(hosting))
 
@@ -28,6 +32,7 @@
         caller_dialect=CALLER_DIALECT,
         upstream_dialect=UPSTREAM_DIALECT,
         heartbeat_handler=lambda take: HeartbeatEntrance(take).handle,
+        read_hosting=read_settings,
     )
 
 
--- a/tests/platform/mesh.py
+++ b/tests/platform/mesh.py
@@ -118,7 +118,7 @@
         }
         path = Path(directory) / f"machine-{number}.json"
         path.write_bytes(msgspec.json.encode(settings))
-        self._path = path
+        self.settings_path = path
         arguments = ["-m", "mangospoke.platform"]
         self.process = ManagedProcess(f"machine-{number}", arguments, Path(directory))
 
@@ -135,7 +135,7 @@
             return first
 
     def start(self):
-        os.environ["MANGOSPOKE_CONFIG"] = str(self._path)
+        os.environ["MANGOSPOKE_CONFIG"] = str(self.settings_path)
         os.environ["MANGOSPOKE_FLEET_SECRET"] = "secret"
         self.process.start()
 
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -141,3 +141,37 @@
         return (await mesh.front.ask("/open/1", key=KEY)).status == 200
 
     await wait_until(is_served, "an answer", 3.0)
+
+
+async def test_new_settings_are_read_while_requests_run(mesh):
+    mesh.back.upstream.delay_s = 0.8
+    answers = []
+
+    async def ask():
+        answers.append((await mesh.front.ask("/open/1")).status)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        await trio.sleep(0.2)
+        for _ in range(3):
+            os.kill(mesh.front.process.pid, signal.SIGHUP)
+            os.kill(mesh.back.process.pid, signal.SIGHUP)
+            await trio.sleep(0.05)
+    assert answers == [200]
+    assert mesh.front.process.is_running and mesh.back.process.is_running
+
+    async def is_told():
+        return b"reloaded" in mesh.front.process.log_path.read_bytes()
+
+    await wait_until(is_told, "the line that says so", 2.0)
+
+
+async def test_settings_that_cannot_be_read_change_nothing(mesh):
+    mesh.front.settings_path.write_bytes(b"garbage")
+    os.kill(mesh.front.process.pid, signal.SIGHUP)
+
+    async def is_told():
+        return b"settings_unreadable" in mesh.front.process.log_path.read_bytes()
+
+    await wait_until(is_told, "the line that says so", 2.0)
+    assert (await mesh.front.ask("/open/1")).status == 200
