--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -120,6 +120,7 @@
             self.decisions,
             platform.upstream_dialect,
             promises.drain_s * _DRAIN_NOTICE_SHARE,
+            learns_limit=False,
         )
         self.registrar = HostRegistrar(
             settings,
@@ -173,6 +174,7 @@
             self.rates.admit,
             dispatcher,
             balancer.delay_s,
+            balancer.deep_delay_s,
             self.decisions,
         )
         self.guard.read_deep_delay_s = self.entrance.deep_delay_s
--- a/mangospoke/guard/admission.py
+++ b/mangospoke/guard/admission.py
@@ -56,8 +56,8 @@
         on_shed: Called with each call that is refused for lack of places.
     """
 
-    def __init__(self) -> None:
-        self.concurrency = ConcurrencyLimit()
+    def __init__(self, learns_limit: bool = True) -> None:
+        self.concurrency = ConcurrencyLimit(learns_limit)
         self.in_flight = 0
         self.hint_ceiling = math.inf
         self.on_shed: Callable[[Call, Refused], None] = _ignore_shed
--- a/mangospoke/guard/concurrency.py
+++ b/mangospoke/guard/concurrency.py
@@ -52,9 +52,15 @@
     Attributes:
         ceiling: What the upstream announces within what is declared; never exceeded.
         limit: What has been learned, between a floor and the ceiling.
+
+    Args:
+        learns: Whether latency and sheds move the limit. An upstream that tells its
+            slots is full when they are, and its calls' latency, which comes from
+            deeper services, says nothing of how many it runs well.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, learns: bool = True) -> None:
+        self._learns = learns
         self.ceiling = 0
         self.limit = 0.0
         self._cold_from = -math.inf
@@ -119,6 +125,8 @@
             Factor by which no-load latencies have turned out to have moved; 1 as a
             rule.
         """
+        if not self._learns:
+            return 1.0
         length_s = now - self._window_started
         seen = self._samples + self._shed
         if length_s < _WINDOW_S:
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -54,11 +54,12 @@
         decisions: DecisionLog,
         dialect: UpstreamDialect = OWN_DIALECT,
         drain_notice_s: float = DRAIN_NOTICE_S,
+        learns_limit: bool = True,
     ) -> None:
         self.executions = Executions()
         self.announcement: Announcement | None = None
         self.draining = False
-        self.admission = Admission()
+        self.admission = Admission(learns_limit)
         self.poison: PoisonControl | None = None
         self.read_deep_delay_s: Callable[[], float] = _no_delay
         self._refuses_from = math.inf
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -50,6 +50,7 @@
         quota: Quota,
         dispatcher: Dispatcher,
         read_delay_s: Callable[[ServiceName], float],
+        read_deep_delay_s: Callable[[ServiceName], float],
         decisions: DecisionLog,
     ) -> None:
         self.closing = False
@@ -60,6 +61,7 @@
         self._quota = quota
         self._dispatcher = dispatcher
         self._read_delay_s = read_delay_s
+        self._read_deep_delay_s = read_deep_delay_s
         self._decisions = decisions
         self._split = WeightedSplit()
         self._shedding = RootShedding()
@@ -103,7 +105,7 @@
         share = self._shedding.refused_share(
             call.service,
             call.importance,
-            self._read_delay_s(call.service),
+            self._read_deep_delay_s(call.service),
             trio.current_time(),
         )
         if share == 0 or self._source.random() >= share:
--- a/mangospoke/ingress/shedding.py
+++ b/mangospoke/ingress/shedding.py
@@ -73,7 +73,8 @@
         Args:
             service: The service that the request is for.
             importance: Of the request.
-            delay_s: Highest queue delay of the service and of those below it.
+            delay_s: Highest queue delay of the services below it. Its own queue
+                decides by itself who runs first.
             now: The time.
         """
         level = self._levels_by_service.get(service)
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -108,16 +108,23 @@
 
         Upstreams of which nothing fresh is known don't count; 0 if all are such.
         """
+        own_s = self._mean_s(service, lambda load: load.queue_delay_ms)
+        return max(own_s, self.deep_delay_s(service))
+
+    def deep_delay_s(self, service: ServiceName) -> float:
+        """Highest queue delay of the services below a service, as it was told."""
+        return self._mean_s(service, lambda load: load.deep_delay_ms)
+
+    def _mean_s(self, service: ServiceName, read_ms: Callable[[Load], float]) -> float:
         candidates = self._candidates(service)
-        total = deep = 0.0
+        total_ms = 0.0
         count = 0
         for upstream in (*candidates.near, *candidates.far):
             load = self._load_of(upstream)
             if load is not None:
-                total += load.queue_delay_ms
-                deep += load.deep_delay_ms
+                total_ms += read_ms(load)
                 count += 1
-        return max(total, deep) / count / 1000 if count else 0.0
+        return total_ms / count / 1000 if count else 0.0
 
     def _load_of(self, upstream: UpstreamAnnounced) -> Load | None:
         if upstream.host_id == self._host_id:
--- a/tests/guard/test_admission.py
+++ b/tests/guard/test_admission.py
@@ -16,7 +16,7 @@
     run_virtual,
 )
 from mangospoke.conf.declarations import Importance
-from mangospoke.guard.admission import LONGEST_WAIT_S, Completion
+from mangospoke.guard.admission import LONGEST_WAIT_S, Admission, Completion
 from mangospoke.guard.fair_queue import ACCOUNT_QUEUE_LENGTH, QUEUE_LENGTH, Place
 from mangospoke.verdicts import RefusalReason, Refused
 
@@ -232,3 +232,16 @@
     for demand in demands:
         if demand.account_id != "hog":
             assert tally.served_share(demand.account_id) >= 0.95
+
+
+async def test_a_limit_that_does_not_learn_stays_at_the_slots(autojump_clock):
+    # Load pattern: a deep service turns slow, so that all calls take ten times as long.
+    admission = Admission(learns_limit=False)
+    admission.concurrency.start_cold(50, trio.current_time(), 0.0)
+    for hold_s in (0.02, 0.2):
+        for _ in range(20):
+            places = [await admission.enter(call_of()) for _ in range(50)]
+            await trio.sleep(hold_s)
+            for place in places:
+                admission.leave(place, Completion.WHOLE)
+    assert admission.limit(trio.current_time()) == 50
--- a/tests/ingress/test_hosted.py
+++ b/tests/ingress/test_hosted.py
@@ -74,6 +74,7 @@
         self.dispatcher = FakeDispatcher()
         self.over_rate = None
         self.delay_by_service = {}
+        self.deep_delay_by_service = {}
         self.outcome = None
         dialect = CallerDialect(self._fields, lambda request, service: [], self._show)
         self.entrance = HostedEntrance(
@@ -84,6 +85,7 @@
             self._quota,
             self.dispatcher,
             lambda service: self.delay_by_service.get(service, 0.0),
+            lambda service: self.deep_delay_by_service.get(service, 0.0),
             DecisionLog(),
         )
 
@@ -168,7 +170,7 @@
 
 
 async def test_requests_are_refused_while_a_service_below_is_full(entrance):
-    entrance.delay_by_service["back"] = 0.1
+    entrance.deep_delay_by_service["back"] = 0.1
     reasons = []
     for _ in range(300):
         await trio.sleep(0.02)
