--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -173,11 +173,13 @@
             hosting.upstream_service,
             self.rates.admit,
             dispatcher,
-            balancer.delay_s,
             balancer.deep_delay_s,
             self.decisions,
         )
-        self.guard.read_deep_delay_s = self.entrance.deep_delay_s
+        callees = self.entrance.callees
+        self.guard.read_deep_delay_s = lambda: callees.delay_s(
+            balancer.delay_s, trio.current_time()
+        )
         self.handle_heartbeat = platform.heartbeat_handler(self.registrar.take)
         self.connections = ConnectionContext(
             settings.limits, WorkCounter(), HangUpMonitor()
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -1,6 +1,5 @@
 """The entrance of a hosted daemon: callers and this host's upstream on one address."""
 
-import math
 import random
 from collections.abc import Callable
 
@@ -15,6 +14,7 @@
 )
 from mangospoke.http.messages import HttpAnswer, HttpRequest
 from mangospoke.ids import ClientAccountId, KeyId, ServiceName
+from mangospoke.ingress.callees import Callees
 from mangospoke.ingress.calls import NO_ACCOUNT, new_request_id
 from mangospoke.ingress.dialect import CallerDialect, CallerFields
 from mangospoke.ingress.dispatch import Dispatcher
@@ -27,10 +27,6 @@
 from mangospoke.verdicts import Outcome, RefusalReason, Refused
 
 _NO_SERVICE = ServiceName("")
-_CALLED_S = 5.0
-"""Time for which a service counts as called by this host's upstream."""
-
-_DEEP_READ_INTERVAL_S = 0.03
 
 
 class HostedEntrance:
@@ -39,6 +35,7 @@
     Attributes:
         closing: Whether each answer ends its connection, so that callers look for
             another host.
+        callees: The services that this host's upstream calls.
     """
 
     def __init__(
@@ -49,7 +46,6 @@
         service: ServiceName,
         quota: Quota,
         dispatcher: Dispatcher,
-        read_delay_s: Callable[[ServiceName], float],
         read_deep_delay_s: Callable[[ServiceName], float],
         decisions: DecisionLog,
     ) -> None:
@@ -60,15 +56,12 @@
         self._service = service
         self._quota = quota
         self._dispatcher = dispatcher
-        self._read_delay_s = read_delay_s
         self._read_deep_delay_s = read_deep_delay_s
         self._decisions = decisions
         self._split = WeightedSplit()
         self._shedding = RootShedding()
         self._source = random.Random()
-        self._called_at: dict[ServiceName, float] = {}
-        self._deep_delay_s = 0.0
-        self._deep_read_at = -math.inf
+        self.callees = Callees(service)
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Authenticates a request, holds it to its account's rate and dispatches it."""
@@ -93,7 +86,7 @@
                 return self._refuse(over_rate, account.account_id, service)
         call = self._call(request, fields, route, service, account)
         if call.is_sub_call:
-            self._called_at[service] = trio.current_time()
+            self.callees.called(service, trio.current_time())
         else:
             shed = self._shed(call)
             if shed is not None:
@@ -114,25 +107,6 @@
         detail = "a service that it needs has no room"
         return Refused(RefusalReason.OVERLOADED_BELOW, detail, wait_s)
 
-    def deep_delay_s(self) -> float:
-        """Highest queue delay of the services that this host's upstream calls.
-
-        It is read anew now and then; in between it answers at once, also if a
-        service calls itself and asks for its own delay.
-        """
-        now = trio.current_time()
-        if now >= self._deep_read_at + _DEEP_READ_INTERVAL_S:
-            self._deep_read_at = now
-            self._deep_delay_s = max(
-                (
-                    self._read_delay_s(service)
-                    for service, called_at in self._called_at.items()
-                    if called_at > now - _CALLED_S
-                ),
-                default=0.0,
-            )
-        return self._deep_delay_s
-
     def _match(
         self,
         request: HttpRequest,
--- a/tests/ingress/test_hosted.py
+++ b/tests/ingress/test_hosted.py
@@ -73,7 +73,6 @@
         self.freshness = Freshness(4.0, trio.current_time)
         self.dispatcher = FakeDispatcher()
         self.over_rate = None
-        self.delay_by_service = {}
         self.deep_delay_by_service = {}
         self.outcome = None
         dialect = CallerDialect(self._fields, lambda request, service: [], self._show)
@@ -84,7 +83,6 @@
             "front",
             self._quota,
             self.dispatcher,
-            lambda service: self.delay_by_service.get(service, 0.0),
             lambda service: self.deep_delay_by_service.get(service, 0.0),
             DecisionLog(),
         )
@@ -180,13 +178,3 @@
     assert reasons[0] is None
     assert reasons.count(RefusalReason.OVERLOADED_BELOW) > 150
     assert isinstance(await entrance.ask("/inner/", key=None), Answered)
-
-
-async def test_the_delay_below_is_that_of_the_services_called(entrance):
-    entrance.delay_by_service = {"back": 1.5, "never-called": 3.0}
-    assert entrance.entrance.deep_delay_s() == 0
-    await entrance.ask("/inner/", key=None)
-    await trio.sleep(0.1)
-    assert entrance.entrance.deep_delay_s() == 1.5
-    await trio.sleep(10)
-    assert entrance.entrance.deep_delay_s() == 0
