--- a/mangospoke/http/fields.py
+++ b/mangospoke/http/fields.py
@@ -35,6 +35,22 @@
 )
 """Fields that callers can't set: they are dropped where a request enters."""
 
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"content-length",
+        b"upgrade",
+        b"expect",
+    }
+)
+"""Fields that concern one connection alone."""
+
 ANNOUNCE_PATH = "/mangospoke/v1/upstream"
 """On the local listener: `POST` announces or changes this host's upstream."""
 
--- a/mangospoke/ingress/calls.py
+++ b/mangospoke/ingress/calls.py
@@ -20,20 +20,9 @@
 )
 from mangospoke.verdicts import Headers, RefusalReason, Refused
 
-_DROPPED = fields.INTERNAL | {
-    fields.AUTHORIZATION,
-    fields.IDEMPOTENCY_KEY,
-    b"connection",
-    b"keep-alive",
-    b"proxy-authorization",
-    b"proxy-connection",
-    b"te",
-    b"trailer",
-    b"transfer-encoding",
-    b"content-length",
-    b"upgrade",
-    b"expect",
-}
+_DROPPED = (
+    fields.INTERNAL | fields.HOP_BY_HOP | {fields.AUTHORIZATION, fields.IDEMPOTENCY_KEY}
+)
 """Fields that end at this hop: about the connection, the key, or our own."""
 
 _MAXIMUM_KEY_CHARACTERS = 128
--- a/mangospoke/platform/headers.py
+++ b/mangospoke/platform/headers.py
@@ -7,6 +7,7 @@
     UpstreamReport,
     remaining_ms,
 )
+from mangospoke.http import fields
 from mangospoke.http.bodies import whole_body
 from mangospoke.http.messages import HttpAnswer, HttpRequest
 from mangospoke.ids import ExecutionToken, InstanceId, RequestId, ServiceName
@@ -36,22 +37,8 @@
 _REPORT = b"server-load"
 _KEEP_ALIVE = b"keep-alive"
 
-_HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"content-length",
-        b"upgrade",
-        b"expect",
-    }
-)
 _SET_BY_US = frozenset({_REQUEST_ID, _TIME_LEFT, _KEY, _ACCOUNT, _INSTANCE, _CALLER})
-_DROPPED = _HOP_BY_HOP | _SET_BY_US
+_DROPPED = fields.HOP_BY_HOP | _SET_BY_US
 
 _OTHER_INSTANCE_STATUS = 421
 _REPORT_PARTS = 3
