--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -1,11 +1,10 @@
-"""A daemon that a platform hosts: its parts, its tasks and its planned stop.
+"""A daemon that a platform hosts: its parts and what connects them.
 
 It makes the same decisions as any daemon. What differs is where it learns from: the
 platform's keyed topics hold configuration and hosts, so that no streams are folded.
 """
 
 import random
-import signal
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
@@ -16,15 +15,14 @@
 from mangospoke.conf.effective import EffectiveConfiguration
 from mangospoke.conf.settings import Settings
 from mangospoke.daemon.hosting import Hosting
-from mangospoke.daemon.supervision import Service, supervise, tame_garbage_collector
+from mangospoke.daemon.supervision import Service
 from mangospoke.guard.dialect import UpstreamDialect
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import PoisonControl
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import whole_body
-from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
 from mangospoke.http.messages import HttpAnswer, HttpRequest
-from mangospoke.http.server import ConnectionContext, Handler, serve_connection
+from mangospoke.http.server import ConnectionContext, Handler
 from mangospoke.idle import WorkCounter
 from mangospoke.ids import HostId, Incarnation
 from mangospoke.ingress.dialect import CallerDialect
@@ -32,12 +30,10 @@
 from mangospoke.ingress.hosted import HostedEntrance
 from mangospoke.logservice.keyed import KeyedFollower, KeyedLog
 from mangospoke.observability.decisions import DecisionLog
-from mangospoke.observability.logs import configure_logs
 from mangospoke.observability.overload import OverloadWatch
 from mangospoke.peers.client import PeerPool
 from mangospoke.peers.control import PeerControl
 from mangospoke.peers.handshake import Identity
-from mangospoke.peers.server import serve_peer
 from mangospoke.rates.borrowing import BorrowedRates
 from mangospoke.rates.lending import Excess, LendingShares
 from mangospoke.rates.timing import read_clock
@@ -50,9 +46,6 @@
 from mangospoke.state.freshness import Freshness, read_boot_clock
 from mangospoke.state.registrar import Heartbeat, HostDirectory, HostRegistrar
 
-_CONNECTIONS = 1_500
-"""Connections accepted at one address."""
-
 _FRESHNESS_SHARE = 0.88
 """Part of the time for a withdrawal in which a host may go without a proof."""
 
@@ -68,11 +61,6 @@
 
 _CONFIGURATION_WAIT_MS = 1_000
 _HOSTS_WAIT_MS = 10_000
-_STOP_NOTICE_S = 2.2
-"""Time in which the platform notices that the host isn't ready any more."""
-
-_STOP_MARGIN_S = 1.2
-_LAST_REQUESTS_S = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -255,101 +243,3 @@
             "prober": lambda: probe_ejected(self.ejector, self.is_alive),
             "overload": self.overload.run,
         }
-
-
-async def run_hosted(hosting: Hosting, platform: Platform) -> None:
-    """Runs a hosted daemon until it is told to stop by SIGTERM or SIGINT.
-
-    Raises:
-        OSError: If an address can't be bound.
-    """
-    settings = hosting.settings
-    configure_logs(settings.logging, settings.host.id)
-    daemon = HostedDaemon(hosting, platform)
-    tame_garbage_collector()
-    try:
-        async with trio.open_nursery() as nursery:
-            for name, service in daemon.services_by_name().items():
-                nursery.start_soon(supervise, name, service)
-            acceptors = await _open_acceptors(daemon)
-            for acceptor in acceptors:
-                nursery.start_soon(acceptor.serve)
-            nursery.start_soon(_stop_when_told, daemon, nursery.cancel_scope)
-            nursery.start_soon(_reload_when_told, daemon, platform.read_hosting)
-            logger.bind(event="started", service=hosting.upstream_service).info(
-                "serving {}", hosting.callers_address
-            )
-    finally:
-        daemon.decisions.flush()
-        daemon.peers.close()
-    logger.bind(event="stopped").info("stopped")
-
-
-async def _open_acceptors(daemon: HostedDaemon) -> list[Acceptor]:
-    """Binds all addresses before any is served, so that a bad one is fatal."""
-    hosting = daemon.hosting
-
-    async def serve_peer_connection(stream: trio.SocketStream) -> None:
-        await serve_peer(
-            stream,
-            daemon.identity,
-            daemon.guard.execute,
-            daemon.guard.load,
-            daemon.connections,
-            daemon.control.answer,
-        )
-
-    def http_handler(handler: Handler) -> ConnectionHandler:
-        async def serve(stream: trio.SocketStream) -> None:
-            await serve_connection(stream, handler, daemon.connections)
-
-        return serve
-
-    handlers_by_address = {
-        hosting.callers_address: http_handler(daemon.entrance.handle),
-        hosting.heartbeat_address: http_handler(daemon.handle_heartbeat),
-        hosting.readiness_address: http_handler(daemon.answer_readiness),
-        daemon.settings.listen.peer: serve_peer_connection,
-    }
-    return [
-        Acceptor(await open_listener(address), handler, _CONNECTIONS)
-        for address, handler in handlers_by_address.items()
-    ]
-
-
-async def _stop_when_told(daemon: HostedDaemon, scope: trio.CancelScope) -> None:
-    """Waits for the order to stop, stops as planned and cancels the daemon's scope."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            break
-        logger.bind(event="stopping").info("planned stop")
-        with trio.move_on_after(daemon.hosting.promises.stop_s - _STOP_MARGIN_S):
-            await _drain(daemon)
-    scope.cancel()
-
-
-async def _reload_when_told(
-    daemon: HostedDaemon, read_hosting: Callable[[], Hosting]
-) -> None:
-    """Reads the settings anew on SIGHUP; what runs goes on meanwhile."""
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            try:
-                daemon.reload(read_hosting())
-            except (OSError, ValueError) as error:
-                logger.bind(event="settings_unreadable").error(
-                    "the settings can't be read; those in force stay: {}", error
-                )
-
-
-async def _drain(daemon: HostedDaemon) -> None:
-    """Serves until callers and peers have turned away, and finishes what runs."""
-    daemon.registrar.stop()
-    daemon.guard.drain()
-    daemon.entrance.closing = True
-    await trio.sleep(_STOP_NOTICE_S)
-    work = daemon.connections.work
-    await work.wait_idle()
-    # What was sent before the last caller turned away may be on its way yet.
-    await trio.sleep(_LAST_REQUESTS_S)
-    await work.wait_idle()
--- a/mangospoke/platform/__main__.py
+++ b/mangospoke/platform/__main__.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from mangospoke.daemon.hosted import Platform, run_hosted
+from mangospoke.daemon.hosted import Platform
+from mangospoke.daemon.hosted_run import run_hosted
 from mangospoke.daemon.hosting import Hosting
 from mangospoke.platform import store
 from mangospoke.platform.declarations import read_configuration
