--- a/mangospoke/guard/upstream.py
+++ b/mangospoke/guard/upstream.py
@@ -54,10 +54,15 @@
 
 @dataclass(slots=True)
 class _Exchange:
-    """One request over one connection, and what its answer said."""
+    """One request over one connection, and what its last answer said.
+
+    Attributes:
+        is_own: Whether that answer belongs to the request.
+    """
 
     connection: HttpConnection
     marks: AnswerMarks = AnswerMarks()
+    is_own: bool = False
 
 
 class UpstreamConnections:
@@ -148,12 +153,12 @@
         expected_id = call.request_id.encode()
 
         def is_own(answer: HttpAnswer) -> bool:
-            exchange.marks = self._dialect.read_marks(answer)
-            if not echoes_request_id:
-                return True
-            echoed = exchange.marks.request_id
+            marks = exchange.marks = self._dialect.read_marks(answer)
+            echoed = marks.request_id
             # What did not run need not say which request that was.
-            return echoed == expected_id or (echoed is None and exchange.marks.not_run)
+            matches = echoed == expected_id or (echoed is None and marks.not_run)
+            exchange.is_own = matches or not echoes_request_id
+            return exchange.is_own
 
         # From here on a byte of the head may reach the upstream.
         call.progress = Progress.SENT
@@ -174,7 +179,7 @@
             return Unanswered(FailureReason.MALFORMED_ANSWER, str(error))
         except RequestBrokenError as error:
             return Unanswered(FailureReason.REQUEST_BROKEN, str(error))
-        if not is_own(answer):
+        if not exchange.is_own:
             detail = "the answer carries another request's id"
             return Unanswered(FailureReason.CROSSED_ANSWER, detail)
         if exchange.marks.report is not None:
