Write typed, bounded lines of decisions to standard output; more metrics

Cause: on-call engineers have only logs and metrics. Refusals at the entry had no request id, lines said nothing of the configuration's version and age, of the hosts asked or of the queue, each kind was cut at ten lines a second whatever it meant, and the logging library wrote to standard error and waited for its reader.

Change: typed events (observability/events.py) for the end of a request where it entered and beside its upstream, with what was believed and how old that was; a sink that never blocks and has a budget by how much a line matters, and says what it left out; lines when a host begins or ceases to accept keys; the request behind a sub-call, where its id tells. Latency histograms, loop lag, calls to the log service and tokens at /metrics, also of a hosted daemon, which had no operations listener. The HTTP handler's wrapper stands once.

--- a/mangospoke/calls.py
+++ b/mangospoke/calls.py
@@ -15,6 +15,7 @@
     RouteName,
     ServiceName,
 )
+from mangospoke.observability.events import Attempt
 from mangospoke.verdicts import Headers, Unanswered
 
 
@@ -80,6 +81,13 @@
         version: Configuration by which it was authenticated.
         is_sub_call: Whether an upstream makes it for a request that it runs, so
             that work is lost above it if it is refused.
+        caller: The service of that upstream.
+        parent_id: The request that it is made for, where that is known.
+        entered_at: Point on trio's clock at which it entered the fleet, or came to
+            this host.
+        admitted_at: Point on trio's clock at which it got its turn at the upstream.
+        target_s: Seconds within which it should be answered, or None.
+        attempts: Hosts that it was sent to, for the log.
     """
 
     request_id: RequestId
@@ -102,6 +110,12 @@
     sent_to: tuple[HostId, Incarnation] | None = field(default=None)
     version: int = 0
     is_sub_call: bool = False
+    caller: ServiceName = ServiceName("")
+    parent_id: RequestId = RequestId("")
+    entered_at: float = 0.0
+    admitted_at: float = 0.0
+    target_s: float | None = None
+    attempts: list[Attempt] = field(default_factory=list)
 
     @property
     def may_have_run(self) -> bool:
--- a/mangospoke/conf/settings.py
+++ b/mangospoke/conf/settings.py
@@ -115,7 +115,7 @@
 
 
 class Logging(_Table, frozen=True, kw_only=True):
-    """How log lines look; they go to standard error.
+    """How log lines look; they go to standard output.
 
     Attributes:
         format: `json` for machines, `text` for people.
--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -7,6 +7,7 @@
 from mangospoke.conf.settings import Settings, ShareMode
 from mangospoke.control.transport import ControlPlane
 from mangospoke.daemon.operations import OperationsEntrance
+from mangospoke.daemon.status import read_status
 from mangospoke.guard.at_most_once import AtMostOnce
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.home_groups import HomeGroups
@@ -23,18 +24,14 @@
 from mangospoke.logservice.client import LogClient
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.observability.incidents import Incidents
+from mangospoke.observability.lag import LoopLag
+from mangospoke.observability.logs import EventLog
 from mangospoke.observability.overload import OverloadWatch
-from mangospoke.observability.status import (
-    DaemonStatus,
-    OutcomeCount,
-    UpstreamStatus,
-)
 from mangospoke.peers.client import PeerPool
 from mangospoke.peers.handshake import Identity
 from mangospoke.rates.service import Rates, open_rates
 from mangospoke.rates.site_limits import SiteLimits
 from mangospoke.rates.static import StaticShares
-from mangospoke.rates.status import read_shares
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.state.fleet import Fleet
@@ -56,6 +53,7 @@
     state: StateSubsystem
     poison: PoisonControl
     overload: OverloadWatch
+    lag: LoopLag
     incidents: Incidents
     peers: PeerPool
     ejector: Ejector
@@ -66,7 +64,7 @@
     rates: Rates
 
 
-def assemble_daemon(settings: Settings) -> Daemon:
+def assemble_daemon(settings: Settings, log: EventLog) -> Daemon:
     """Makes all parts of a daemon and connects them."""
     incarnation = Incarnation(int(time.time() * 1000))
     identity = Identity(
@@ -80,8 +78,9 @@
     fleet = Fleet(settings.host.site)
     log_client = LogClient(settings.log)
     overload = OverloadWatch()
+    lag = LoopLag()
     incidents = Incidents(settings.host.id, domain, log_client)
-    decisions = DecisionLog(overload, incidents)
+    decisions = DecisionLog(log, overload, incidents)
     guard = Guard(fleet, settings.limits, decisions)
     control = ControlPlane(
         settings.fleet.secret,
@@ -127,13 +126,18 @@
         state=state,
         poison=poison,
         overload=overload,
+        lag=lag,
         incidents=incidents,
         peers=peers,
         ejector=ejector,
         public=public,
         local=local,
         operations=OperationsEntrance(
-            lambda: read_status(daemon), decisions, poison.clear
+            lambda: read_status(daemon),
+            decisions,
+            lag,
+            poison.clear,
+            log.sink.left_out,
         ),
         connections=ConnectionContext(settings.limits, WorkCounter(), HangUpMonitor()),
         rates=rates,
@@ -146,55 +150,3 @@
         shares = StaticShares(lambda: len(fleet.membership_state.upstreams_by_host))
         return SiteLimits(fleet, settings.host.site, shares.admit).admit
     return SiteLimits(fleet, settings.host.site, rates.admit).admit
-
-
-def _offsets(fleet: Fleet) -> dict[str, int]:
-    return {
-        stream.value: offset for stream, offset in fleet.next_offset_by_stream.items()
-    }
-
-
-def read_status(daemon: Daemon) -> DaemonStatus:
-    """Reads what a daemon tells of itself."""
-    fleet = daemon.fleet
-    upstreams_known = {
-        service: len(upstreams)
-        for service, upstreams in fleet.upstreams_by_service.items()
-    }
-    outcomes = tuple(
-        OutcomeCount(*key, count) for key, count in daemon.decisions.outcomes.items()
-    )
-    return DaemonStatus(
-        host_id=daemon.identity.host_id,
-        failure_domain=daemon.identity.failure_domain,
-        site=daemon.settings.host.site,
-        incarnation=daemon.identity.incarnation,
-        configuration_version=fleet.configuration.version,
-        offsets=_offsets(fleet),
-        upstreams_known=upstreams_known,
-        upstream=_upstream_status(daemon.guard),
-        outcomes=outcomes,
-        draining=daemon.public.draining,
-        log=daemon.log_client.health(),
-        shares=read_shares(daemon.rates, fleet.configuration),
-        grantor_state=daemon.rates.grantor.state.value,
-        state=daemon.state.status(),
-        quarantines=daemon.poison.statuses(),
-        overloads=daemon.overload.statuses(),
-    )
-
-
-def _upstream_status(guard: Guard) -> UpstreamStatus | None:
-    announcement = guard.announcement
-    if announcement is None:
-        return None
-    load = guard.load()
-    return UpstreamStatus(
-        service=announcement.service,
-        address=announcement.address,
-        draining=guard.draining,
-        limit=load.limit,
-        in_flight=load.in_flight,
-        queued=load.queued,
-        queue_delay_ms=load.queue_delay_ms,
-    )
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -15,6 +15,8 @@
 from mangospoke.conf.effective import EffectiveConfiguration
 from mangospoke.conf.settings import Settings
 from mangospoke.daemon.hosting import Hosting
+from mangospoke.daemon.operations import OperationsEntrance
+from mangospoke.daemon.status import read_hosted_status
 from mangospoke.daemon.supervision import Service
 from mangospoke.guard.dialect import UpstreamDialect
 from mangospoke.guard.guard import Guard
@@ -28,8 +30,11 @@
 from mangospoke.ingress.dialect import CallerDialect
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.ingress.hosted import HostedEntrance
+from mangospoke.logservice.calls import LogCalls
 from mangospoke.logservice.keyed import KeyedFollower, KeyedLog
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.observability.lag import LoopLag
+from mangospoke.observability.logs import EventLog
 from mangospoke.observability.overload import OverloadWatch
 from mangospoke.peers.client import PeerPool
 from mangospoke.peers.control import PeerControl
@@ -71,12 +76,14 @@
         configuration_topic: Keyed topic that holds the configuration.
         configuration_key: The configuration's key in it.
         hosts_topic: Keyed topic for the hosts' records.
+        log_calls: What counts the calls to the log.
         read_configuration: Reads a configuration; None if it can't be used.
         heartbeat_handler: Makes the handler of the upstream's heartbeats.
         read_hosting: Reads the settings anew.
     """
 
     log: KeyedLog
+    log_calls: LogCalls
     configuration_topic: str
     configuration_key: str
     hosts_topic: str
@@ -90,18 +97,22 @@
 class HostedDaemon:
     """A hosted daemon's parts."""
 
-    def __init__(self, hosting: Hosting, platform: Platform) -> None:
+    def __init__(self, hosting: Hosting, platform: Platform, log: EventLog) -> None:
         settings = hosting.settings
         promises = hosting.promises
         domain = settings.host.failure_domain
         incarnation = Incarnation(time.time_ns() // 1_000_000)
+        self._log = log
         self.hosting = hosting
         self.settings: Settings = settings
         self.fleet = Fleet(settings.host.site)
         self.directory = HostDirectory(self.fleet)
         self.freshness = Freshness(promises.withdrawal_s * _FRESHNESS_SHARE)
+        self.log_calls = platform.log_calls
+        self.lag = LoopLag()
         self.overload = OverloadWatch()
-        self.decisions = DecisionLog(self.overload)
+        self.decisions = DecisionLog(log, self.overload)
+        self.decisions.read_proof_age_s = self.freshness.age_s
         self.guard = Guard(
             self.fleet,
             settings.limits,
@@ -172,6 +183,13 @@
         self.connections = ConnectionContext(
             settings.limits, WorkCounter(), HangUpMonitor()
         )
+        self.operations = OperationsEntrance(
+            lambda: read_hosted_status(self),
+            self.decisions,
+            self.lag,
+            self.poison.clear,
+            log.sink.left_out,
+        )
         self.configuration = ConfigurationSource(
             settings.host.id,
             self.fleet,
@@ -238,8 +256,9 @@
             "hosts": self.hosts_follower.run,
             "registrar": self.registrar.run,
             "hang-up monitor": self.connections.hang_ups.run,
-            "decision log": self.decisions.run,
+            "log": self._log.sink.run,
             "peer connections": self.peers.run,
             "prober": lambda: probe_ejected(self.ejector, self.is_alive),
             "overload": self.overload.run,
+            "loop lag": self.lag.run,
         }
--- a/mangospoke/daemon/hosted_run.py
+++ b/mangospoke/daemon/hosted_run.py
@@ -10,8 +10,8 @@
 from mangospoke.daemon.hosting import Hosting
 from mangospoke.daemon.supervision import supervise, tame_garbage_collector
 from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
-from mangospoke.http.server import Handler, serve_connection
-from mangospoke.observability.logs import configure_logs
+from mangospoke.http.server import Handler, connection_handler
+from mangospoke.observability.logs import EventLog, open_logs
 from mangospoke.peers.server import serve_peer
 
 _CONNECTIONS = 1_500
@@ -31,8 +31,12 @@
         OSError: If an address can't be bound.
     """
     settings = hosting.settings
-    configure_logs(settings.logging, settings.host.id)
-    daemon = HostedDaemon(hosting, platform)
+    with open_logs(settings.logging, settings.host.id) as log:
+        await _run(hosting, platform, log)
+
+
+async def _run(hosting: Hosting, platform: Platform, log: EventLog) -> None:
+    daemon = HostedDaemon(hosting, platform, log)
     tame_garbage_collector()
     try:
         async with trio.open_nursery() as nursery:
@@ -47,7 +51,6 @@
                 "serving {}", hosting.callers_address
             )
     finally:
-        daemon.decisions.flush()
         daemon.peers.close()
     logger.bind(event="stopped").info("stopped")
 
@@ -67,16 +70,14 @@
         )
 
     def http_handler(handler: Handler) -> ConnectionHandler:
-        async def serve(stream: trio.SocketStream) -> None:
-            await serve_connection(stream, handler, daemon.connections)
-
-        return serve
+        return connection_handler(handler, daemon.connections)
 
     handlers_by_address = {
         hosting.callers_address: http_handler(daemon.entrance.handle),
         hosting.heartbeat_address: http_handler(daemon.handle_heartbeat),
         hosting.readiness_address: http_handler(daemon.answer_readiness),
         daemon.settings.listen.peer: serve_peer_connection,
+        daemon.settings.listen.operations: http_handler(daemon.operations.handle),
     }
     return [
         Acceptor(await open_listener(address), handler, _CONNECTIONS)
--- a/mangospoke/daemon/operations.py
+++ b/mangospoke/daemon/operations.py
@@ -1,12 +1,13 @@
 """The operations listener: metrics, health and status."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 
 from mangospoke.http.bodies import whole_body
 from mangospoke.http.messages import HttpAnswer, HttpRequest
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.observability.lag import LoopLag
 from mangospoke.observability.metrics import render_metrics
 from mangospoke.observability.status import DaemonStatus
 
@@ -18,10 +19,14 @@
         self,
         read_status: Callable[[], DaemonStatus],
         decisions: DecisionLog,
+        lag: LoopLag,
         lift_quarantine: Callable[[str], Awaitable[bool]],
+        lines_left_out: Mapping[str, int],
     ) -> None:
         self._read_status = read_status
         self._decisions = decisions
+        self._lag = lag
+        self._lines_left_out = lines_left_out
         self._lift_quarantine = lift_quarantine
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
@@ -36,7 +41,9 @@
             content = msgspec.json.encode(self._read_status())
             return _answer(200, b"application/json", content)
         if request.path == "/metrics":
-            content = render_metrics(self._read_status(), self._decisions)
+            content = render_metrics(
+                self._read_status(), self._decisions, self._lag, self._lines_left_out
+            )
             return _answer(200, b"text/plain; version=0.0.4; charset=utf-8", content)
         return _answer(404, b"text/plain", b"/healthz, /status, /metrics\n")
 
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -9,8 +9,8 @@
 from mangospoke.daemon.stopping import Acceptors, stop_when_told
 from mangospoke.daemon.supervision import supervise, tame_garbage_collector
 from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
-from mangospoke.http.server import Handler, serve_connection
-from mangospoke.observability.logs import configure_logs
+from mangospoke.http.server import Handler, connection_handler
+from mangospoke.observability.logs import EventLog, open_logs
 from mangospoke.peers.server import serve_peer
 from mangospoke.routing.probing import probe_by_control, probe_ejected
 
@@ -26,16 +26,21 @@
     Raises:
         OSError: If an address can't be bound.
     """
-    configure_logs(settings.logging, settings.host.id)
     cap_threads()
-    daemon = assemble_daemon(settings)
+    with open_logs(settings.logging, settings.host.id) as log:
+        await _run(settings, log)
+
+
+async def _run(settings: Settings, log: EventLog) -> None:
+    daemon = assemble_daemon(settings, log)
     tame_garbage_collector()
     try:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 supervise, "hang-up monitor", daemon.connections.hang_ups.run
             )
-            nursery.start_soon(supervise, "decision log", daemon.decisions.run)
+            nursery.start_soon(supervise, "log", log.sink.run)
+            nursery.start_soon(supervise, "loop lag", daemon.lag.run)
             nursery.start_soon(supervise, "peer connections", daemon.peers.run)
             nursery.start_soon(supervise, "prober", lambda: _probe(daemon))
             nursery.start_soon(supervise, "rates", daemon.rates.run)
@@ -49,7 +54,6 @@
             nursery.start_soon(stop_when_told, daemon, acceptors, nursery.cancel_scope)
             logger.bind(event="started").info("serving {}", settings.listen.public)
     finally:
-        daemon.decisions.flush()
         daemon.peers.close()
         daemon.control.close()
     logger.bind(event="stopped").info("stopped")
@@ -75,10 +79,7 @@
         )
 
     def http_handler(handler: Handler) -> ConnectionHandler:
-        async def serve(stream: trio.SocketStream) -> None:
-            await serve_connection(stream, handler, daemon.connections)
-
-        return serve
+        return connection_handler(handler, daemon.connections)
 
     acceptors = Acceptors(
         public=Acceptor(
--- /dev/null
+++ b/mangospoke/forensics/__init__.py
@@ -0,0 +1,1 @@
+"""Explaining afterwards, from logs alone, what became of requests."""
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -187,12 +187,13 @@
 
     async def execute(self, call: Call) -> Outcome:
         """Admits a call, runs it in the upstream and returns what became of it."""
+        arrived_at = trio.current_time()
+        outcome: Outcome | None = None
         with trio.move_on_at(call.deadline):
             outcome = await self._execute(call)
-            self._record(call, outcome)
-            return outcome
-        outcome = _deadline_exceeded(call)
-        self._record(call, outcome)
+        if outcome is None:
+            outcome = _deadline_exceeded(call)
+        self._record(call, outcome, arrived_at)
         return outcome
 
     async def _execute(self, call: Call) -> Outcome:
@@ -218,6 +219,7 @@
         place = await self.admission.enter(call, weight)
         if isinstance(place, Refused):
             return place
+        call.admitted_at = place.admitted_at
         # A call that is cancelled meanwhile has taken at least this long.
         completion = Completion.CUT_OFF
         try:
@@ -274,8 +276,12 @@
             self._unreachable = False
             self._start_cold()
 
-    def _record(self, call: Call, outcome: Outcome) -> None:
-        self._decisions.guarded(call, outcome)
+    def _record(self, call: Call, outcome: Outcome, arrived_at: float) -> None:
+        announcement = self.announcement
+        instance = announcement.instance if announcement is not None else None
+        self._decisions.guarded(
+            call, outcome, arrived_at, instance or "", self.admission.load
+        )
 
 
 def _no_delay() -> float:
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -11,6 +11,7 @@
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http import fields
 from mangospoke.http.bodies import whole_body
+from mangospoke.http.listener import ConnectionHandler
 from mangospoke.http.messages import HttpAnswer, HttpRequest
 from mangospoke.http.reading import (
     BadRequestError,
@@ -48,6 +49,17 @@
     hang_ups: HangUpMonitor
 
 
+def connection_handler(
+    handler: Handler, context: ConnectionContext
+) -> ConnectionHandler:
+    """Makes what serves the connections of one listener."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await serve_connection(stream, handler, context)
+
+    return serve
+
+
 async def serve_connection(
     stream: trio.SocketStream, handler: Handler, context: ConnectionContext
 ) -> None:
--- a/mangospoke/ingress/calls.py
+++ b/mangospoke/ingress/calls.py
@@ -66,6 +66,7 @@
     if isinstance(key, Refused):
         return key
     idempotency_key, key_use = key
+    now = trio.current_time()
     return Call(
         request_id=new_request_id(),
         account_id=account_id,
@@ -76,12 +77,14 @@
         target=request.target,
         headers=_passed_on(request.headers),
         body=request.body,
-        deadline=trio.current_time() + _deadline_s(request, route),
+        deadline=now + _deadline_s(request, route),
         importance=route.importance,
         idempotent=route.idempotent,
         idempotency_key=idempotency_key,
         retries=RetryAllowance(route.retries),
         key_use=key_use,
+        entered_at=now,
+        target_s=route.target_latency_s,
     )
 
 
@@ -100,7 +103,7 @@
     if isinstance(key, Refused):
         return key
     idempotency_key, key_use = key
-    deadline = min(parent.deadline, trio.current_time() + _deadline_s(request, route))
+    now = trio.current_time()
     return Call(
         request_id=new_request_id(),
         account_id=parent.account_id,
@@ -111,13 +114,17 @@
         target=request.target,
         headers=_passed_on(request.headers),
         body=request.body,
-        deadline=deadline,
+        deadline=min(parent.deadline, now + _deadline_s(request, route)),
         # A booking's lookups count as much as the booking.
         importance=min(parent.importance, route.importance),
         idempotent=route.idempotent,
         idempotency_key=idempotency_key,
         retries=parent.retries,
         key_use=key_use,
+        caller=parent.service,
+        parent_id=parent.request_id,
+        entered_at=now,
+        target_s=route.target_latency_s,
     )
 
 
--- a/mangospoke/ingress/dialect.py
+++ b/mangospoke/ingress/dialect.py
@@ -17,12 +17,14 @@
         request_id: The caller's id of the request, or None.
         time_left_s: Seconds that the caller will wait, or None.
         key_id: Digest of the key that it carries, or None.
+        parent_id: The request for which an upstream sends it, where the id tells.
     """
 
     host: str
     request_id: RequestId | None
     time_left_s: float | None
     key_id: KeyId | None
+    parent_id: RequestId = RequestId("")
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangospoke/ingress/dispatch.py
+++ b/mangospoke/ingress/dispatch.py
@@ -8,7 +8,8 @@
 from mangospoke.guard.idempotency_keys import locate_key
 from mangospoke.ids import HostId
 from mangospoke.logservice.records import UpstreamAnnounced
-from mangospoke.observability.decisions import DecisionLog
+from mangospoke.observability.decisions import DecisionLog, reason_of
+from mangospoke.observability.events import Attempt
 from mangospoke.peers.client import PeerPool
 from mangospoke.routing.balancer import Balancer, Choice
 from mangospoke.routing.ejection import Ejector
@@ -129,14 +130,17 @@
 
     async def _attempt(self, call: Call, choice: Choice) -> Outcome:
         upstream = choice.upstream
-        self._decisions.routed_to(call, upstream.host_id, choice.reason)
+        self._decisions.routed_to(call, upstream.host_id)
         call.sent_to = (upstream.host_id, upstream.incarnation)
         self._ejector.sending(upstream)
+        sent_at = trio.current_time()
         try:
             outcome = await self.send(call, upstream)
         except trio.Cancelled:
             self._ejector.cancelled(upstream)
+            _note_attempt(call, choice, sent_at, "cancelled")
             raise
+        _note_attempt(call, choice, sent_at, reason_of(outcome))
         known = self._balancer.count(call.service)
         if self._ejector.observe(upstream, outcome, known):
             self._decisions.ejected(call.service, upstream.host_id, outcome)
@@ -161,6 +165,19 @@
         return True
 
 
+def _note_attempt(call: Call, choice: Choice, sent_at: float, outcome: str) -> None:
+    now = trio.current_time()
+    call.attempts.append(
+        Attempt(
+            host=choice.upstream.host_id,
+            placed=choice.reason,
+            outcome=outcome,
+            after_ms=round((sent_at - call.entered_at) * 1000, 1),
+            took_ms=round((now - sent_at) * 1000, 1),
+        )
+    )
+
+
 def _may_place_anew(call: Call, outcome: Outcome) -> bool:
     """Whether a guard kept a call from its upstream, so that it costs no retry."""
     if not isinstance(outcome, Refused) or outcome.reason in _SEEN_BY_UPSTREAM:
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -66,45 +66,49 @@
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Authenticates a request, holds it to its account's rate and dispatches it."""
         fields = self._dialect.read_fields(request)
-        outcome = await self._outcome(request, fields)
+        outcome = await self._outcome(request, fields, trio.current_time())
         answer = self._dialect.write_answer(outcome, fields.request_id)
         answer.closes = self.closing
         return answer
 
-    async def _outcome(self, request: HttpRequest, fields: CallerFields) -> Outcome:
+    async def _outcome(
+        self, request: HttpRequest, fields: CallerFields, entered_at: float
+    ) -> Outcome:
         configuration = self._fleet.configuration
         route = self._match(request, fields, configuration)
         if isinstance(route, Refused):
-            return self._refuse(route, NO_ACCOUNT, _NO_SERVICE)
+            return self._refuse(route, fields, NO_ACCOUNT, _NO_SERVICE)
         service = self._split.choose(route)
         account = self._authenticate(route, fields, configuration)
         if isinstance(account, Refused):
-            return self._refuse(account, NO_ACCOUNT, service)
+            return self._refuse(account, fields, NO_ACCOUNT, service)
         if account is not None and account.rate:
             over_rate = await self._quota(account)
             if over_rate is not None:
-                return self._refuse(over_rate, account.account_id, service)
+                return self._refuse(over_rate, fields, account.account_id, service)
         call = self._call(request, fields, route, service, account)
+        call.entered_at = entered_at
         if call.is_sub_call:
             self.callees.called(service, trio.current_time())
         else:
             shed = self._shed(call)
             if shed is not None:
-                return self._refuse(shed, call.account_id, service)
+                return self._refuse(shed, fields, call.account_id, service)
         return await self._dispatcher.dispatch_recorded(call)
 
     def _shed(self, call: Call) -> Refused | None:
         """Refuses a request for whose calls there is no room below."""
+        delay_s = self._read_deep_delay_s(call.service)
         share = self._shedding.refused_share(
-            call.service,
-            call.importance,
-            self._read_deep_delay_s(call.service),
-            trio.current_time(),
+            call.service, call.importance, delay_s, trio.current_time()
         )
         if share == 0 or self._source.random() >= share:
             return None
         wait_s = come_back_s(call.importance, self._source.random())
-        detail = "a service that it needs has no room"
+        detail = (
+            f"a service that it needs has no room: requests wait {delay_s * 1000:.0f} "
+            f"ms there, and {share:.0%} of this importance are refused"
+        )
         return Refused(RefusalReason.OVERLOADED_BELOW, detail, wait_s)
 
     def _match(
@@ -130,7 +134,10 @@
         if route.access is Access.KEYLESS:
             return None
         if not self._freshness.is_fresh():
-            detail = "this host can't tell whether keys have been withdrawn"
+            detail = (
+                "this host can't tell whether keys have been withdrawn: the last "
+                f"proof is {self._freshness.age_s():.1f} s old"
+            )
             return Refused(RefusalReason.CONFIGURATION_STALE, detail)
         key = None
         if fields.key_id is not None:
@@ -168,12 +175,25 @@
             version=self._fleet.configuration.version,
             # Whoever sends it, nobody but an upstream has a request depend on it.
             is_sub_call=account is None,
+            caller=self._service if account is None else _NO_SERVICE,
+            parent_id=fields.parent_id,
+            target_s=route.target_latency_s,
         )
 
     def _refuse(
-        self, refused: Refused, account_id: ClientAccountId, service: ServiceName
+        self,
+        refused: Refused,
+        fields: CallerFields,
+        account_id: ClientAccountId,
+        service: ServiceName,
     ) -> Refused:
-        self._decisions.refused_at_entry(account_id, service, refused)
+        self._decisions.refused_at_entry(
+            account_id,
+            service,
+            refused,
+            fields.request_id,
+            self._fleet.configuration.version,
+        )
         return refused
 
 
--- a/mangospoke/ingress/local.py
+++ b/mangospoke/ingress/local.py
@@ -8,15 +8,22 @@
 from mangospoke.http import fields
 from mangospoke.http.bodies import whole_body
 from mangospoke.http.messages import HttpAnswer, HttpRequest
-from mangospoke.ids import ExecutionToken, FailureDomainId
+from mangospoke.ids import (
+    ClientAccountId,
+    ExecutionToken,
+    FailureDomainId,
+    ServiceName,
+)
 from mangospoke.ingress.answers import answer_of
-from mangospoke.ingress.calls import match_route, sub_call
+from mangospoke.ingress.calls import NO_ACCOUNT, match_route, sub_call
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.state.announcer import Announcer
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import RefusalReason, Refused
 
+_NO_SERVICE = ServiceName("")
+
 
 class LocalEntrance:
     """Serves the upstream on this host.
@@ -72,16 +79,24 @@
         parent = self._parent(request)
         if parent is None:
             detail = "send back the execution's `Mangospoke-Execution` field"
-            return answer_of(Refused(RefusalReason.UNKNOWN_EXECUTION, detail))
+            refused = Refused(RefusalReason.UNKNOWN_EXECUTION, detail)
+            return self._refuse(refused, NO_ACCOUNT, _NO_SERVICE)
         route = match_route(request, self._fleet.configuration, internal=True)
         if isinstance(route, Refused):
-            return answer_of(route)
+            return self._refuse(route, parent.account_id, _NO_SERVICE)
         call = sub_call(request, route, parent, self._domain)
         if isinstance(call, Refused):
-            return answer_of(call)
+            return self._refuse(call, parent.account_id, route.service)
         outcome = await self._dispatcher.dispatch_recorded(call)
         return answer_of(outcome, call.request_id, call.idempotency_key)
 
+    def _refuse(
+        self, refused: Refused, account_id: ClientAccountId, service: ServiceName
+    ) -> HttpAnswer:
+        version = self._fleet.configuration.version
+        self._decisions.refused_at_entry(account_id, service, refused, version=version)
+        return answer_of(refused)
+
     def _parent(self, request: HttpRequest) -> Call | None:
         token = request.field(fields.EXECUTION)
         if token is None:
--- a/mangospoke/ingress/public.py
+++ b/mangospoke/ingress/public.py
@@ -86,5 +86,6 @@
     def _refuse(
         self, refused: Refused, account_id: ClientAccountId, service: ServiceName
     ) -> HttpAnswer:
-        self._decisions.refused_at_entry(account_id, service, refused)
+        version = self._fleet.configuration.version
+        self._decisions.refused_at_entry(account_id, service, refused, version=version)
         return answer_of(refused)
--- a/mangospoke/logservice/calls.py
+++ b/mangospoke/logservice/calls.py
@@ -1,6 +1,7 @@
 """HTTP calls to the log service over pooled connections."""
 
 import time
+from collections import Counter
 
 import trio
 
@@ -20,6 +21,10 @@
 _HEAD_BYTES = 16_384
 _ANSWER_BYTES = 16_777_216
 _IDLE_CONNECTIONS = 2
+_NO_ANSWER = "no-answer"
+
+LogCallKey = tuple[str, str]
+"""Path of a call, and the status of its answer or `no-answer`."""
 
 
 class LogUnavailableError(Exception):
@@ -43,13 +48,18 @@
 
 
 class LogCalls:
-    """Calls the log service and keeps count of how it answers."""
+    """Calls the log service and keeps count of how it answers.
+
+    Attributes:
+        counts: Calls by path and outcome.
+    """
 
     def __init__(self, settings: LogService) -> None:
         self._settings = settings
         self._idle: list[HttpConnection] = []
         self._answered_at: float | None = None
         self._failures_in_row = 0
+        self.counts: Counter[LogCallKey] = Counter()
 
     def health(self) -> LogHealth:
         """Says how the log service has answered."""
@@ -96,9 +106,11 @@
             trio.TooSlowError,
         ) as error:
             self._failures_in_row += 1
+            self.counts[(_kind_of(target), _NO_ANSWER)] += 1
             raise LogUnavailableError(repr(error)) from error
         self._answered_at = time.monotonic()
         self._failures_in_row = 0
+        self.counts[(_kind_of(target), str(answer.status))] += 1
         return answer
 
     async def _exchange_once(
@@ -137,3 +149,8 @@
             self._idle.append(connection)
         else:
             await connection.aclose()
+
+
+def _kind_of(target: str) -> str:
+    """The path of a call, without what tells one call from another."""
+    return target.partition("?")[0]
--- a/mangospoke/management/main.py
+++ b/mangospoke/management/main.py
@@ -27,6 +27,8 @@
     "publish": "Publish a base with its overlays and wait until it is in force.",
     "diff": "Show what publishing would change against what is in force.",
     "status": "Show the state of the fleet.",
+    "explain": "Tell from logs what became of a request, and why.",
+    "losses": "Count from logs what requests were lost, and of what.",
     "demo": "Run a small fleet with stand-ins, drive it, and stop it.",
     "bench": "Run measurements.",
 }
--- a/mangospoke/management/reference/pages.py
+++ b/mangospoke/management/reference/pages.py
@@ -10,6 +10,7 @@
 from mangospoke.management.main import create_app
 from mangospoke.management.reference.types import (
     render_declarations,
+    render_events,
     render_settings,
 )
 
@@ -21,6 +22,7 @@
     return {
         "declarations.md": render_declarations(),
         "settings.md": render_settings(),
+        "events.md": render_events(),
         "checks.md": _render_checks(),
         "commands.md": _render_commands(),
     }
--- a/mangospoke/management/reference/types.py
+++ b/mangospoke/management/reference/types.py
@@ -13,9 +13,11 @@
 
 from mangospoke.conf.declarations import Base, Overlay
 from mangospoke.conf.settings import Settings
+from mangospoke.observability.events import EVENTS, Attempt
 
 _ATTRIBUTE = re.compile(r"^    (\w+): (.*)$")
 _CONTINUATION = "        "
+_NAMES_BY_TYPE = {str: "text", int: "integer", float: "number", bool: "boolean"}
 
 
 def render_declarations() -> str:
@@ -56,6 +58,36 @@
     )
 
 
+def render_events() -> str:
+    """Renders the page of the typed events in the log."""
+    lines = [
+        "# Events of requests in the log",
+        "",
+        "Made from the types by `mangospoke reference`; don't edit.",
+        "",
+        "Each is one line of JSON on standard output, with `time`, `host_id` and",
+        "`event` beside the fields below. A field that is empty or 0 is left out.",
+        "",
+    ]
+    for event in EVENTS:
+        lines += [f"## `{event.__struct_config__.tag}`", ""]
+        lines += _render_event(event)
+    lines += ["## An entry of `attempts`", "", *_render_event(Attempt)]
+    return "\n".join(lines)
+
+
+def _render_event(struct: type[Struct]) -> Iterator[str]:
+    yield _summary(struct)
+    yield ""
+    yield "| field | type | |"
+    yield "| --- | --- | --- |"
+    texts_by_name = _attribute_texts(struct)
+    for info in msgspec.structs.fields(struct):
+        text = texts_by_name.get(info.name, "")
+        yield f"| `{info.name}` | {_type_name(info.type)} | {text} |"
+    yield ""
+
+
 def _render_table(struct: type[Struct], path: str) -> Iterator[str]:
     """Renders a table of a TOML file, then those inside it."""
     if path:
@@ -135,7 +167,9 @@
         return _type_name(arguments[0])
     if issubclass(annotation, enum.Enum):
         return ", ".join(f"`{member.value}`" for member in annotation)
-    return {str: "text", int: "integer", bool: "boolean"}[annotation]
+    if issubclass(annotation, Struct):
+        return f"`{annotation.__name__}`"
+    return _NAMES_BY_TYPE[annotation]
 
 
 def _annotated_name(arguments: tuple[Any, ...]) -> str:
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -1,18 +1,42 @@
 """Prometheus metrics, gathered from counters only when they are asked for."""
 
+from collections.abc import Mapping
+
 from aioprometheus import Counter, Gauge, Registry
+from aioprometheus import Histogram as RenderedHistogram
+from aioprometheus.collectors import Collector
+from aioprometheus.histogram import Histogram as RenderedValues
 from aioprometheus.renderer import render
 
+from mangospoke.ids import ServiceName
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.observability.lag import LoopLag
+from mangospoke.observability.latencies import BOUNDS_S, Histogram
 from mangospoke.observability.status import DaemonStatus, StateStatus
 
 
-def render_metrics(status: DaemonStatus, decisions: DecisionLog) -> bytes:
-    """Renders a daemon's metrics in the Prometheus text format."""
+def render_metrics(
+    status: DaemonStatus,
+    decisions: DecisionLog,
+    lag: LoopLag,
+    lines_left_out: Mapping[str, int],
+) -> bytes:
+    """Renders a daemon's metrics in the Prometheus text format.
+
+    Args:
+        status: What the daemon tells of itself.
+        decisions: Counts of decisions.
+        lag: How late the event loop runs.
+        lines_left_out: Log lines that were not written, by what they tell of.
+    """
     registry = Registry()
     _add_gauges(registry, status)
     _add_outcomes(registry, status)
     _add_decisions(registry, decisions)
+    _add_latencies(registry, decisions)
+    _add_lag(registry, lag)
+    _add_lines(registry, lines_left_out)
+    _add_hosted(registry, status)
     content, _ = render(registry, [])
     return content
 
@@ -103,3 +127,108 @@
     )
     for (service, host), count in decisions.routed.items():
         routed.set({"service": service, "host": host}, count)
+    ejections = Counter(
+        "mangospoke_ejections_total",
+        "Times that an upstream was left out of routing here.",
+        registry=registry,
+    )
+    for (service, host), count in decisions.ejections.items():
+        ejections.set({"service": service, "host": host}, count)
+
+
+def _add_latencies(registry: Registry, decisions: DecisionLog) -> None:
+    latencies = decisions.latencies
+    _add_histograms(
+        registry,
+        "mangospoke_request_seconds",
+        "From entry to end, of requests that entered here and were answered.",
+        latencies.request,
+    )
+    _add_histograms(
+        registry,
+        "mangospoke_queue_seconds",
+        "Waiting for a turn beside this host's upstream.",
+        latencies.queue,
+    )
+    _add_histograms(
+        registry,
+        "mangospoke_upstream_seconds",
+        "In this host's upstream.",
+        latencies.upstream,
+    )
+
+
+def _add_histograms(
+    registry: Registry,
+    name: str,
+    text: str,
+    histograms_by_service: Mapping[ServiceName, Histogram],
+) -> None:
+    rendered = RenderedHistogram(name, text, registry=registry, buckets=BOUNDS_S)
+    for service, histogram in histograms_by_service.items():
+        _set_histogram(rendered, {"service": service}, histogram)
+
+
+def _set_histogram(
+    rendered: Collector, labels: dict[str, str], histogram: Histogram
+) -> None:
+    values = RenderedValues(*BOUNDS_S)
+    count = 0
+    for bound, added in zip(list(values.buckets), histogram.counts, strict=True):
+        count += added
+        values.buckets[bound] = count
+    values.observations = count
+    values.sum = histogram.total_s
+    rendered.set_value(labels, values)
+
+
+def _add_lag(registry: Registry, lag: LoopLag) -> None:
+    rendered = RenderedHistogram(
+        "mangospoke_loop_lag_seconds",
+        "How late the event loop ran what was due, looked at twice a second.",
+        registry=registry,
+        buckets=BOUNDS_S,
+    )
+    _set_histogram(rendered, {}, lag.histogram)
+
+
+def _add_lines(registry: Registry, lines_left_out: Mapping[str, int]) -> None:
+    lines = Counter(
+        "mangospoke_log_lines_left_out_total",
+        "Log lines beyond the budget, by what they tell of.",
+        registry=registry,
+    )
+    for kind, count in lines_left_out.items():
+        lines.set({"kind": kind}, count)
+
+
+def _add_hosted(registry: Registry, status: DaemonStatus) -> None:
+    """Adds what only a hosted daemon has."""
+    if status.proof_age_s is None:
+        return
+    age = Gauge(
+        "mangospoke_proof_age_seconds",
+        "Seconds since the configuration was last known to be the newest.",
+        registry=registry,
+    )
+    age.set({}, status.proof_age_s)
+    calls = Counter(
+        "mangospoke_log_calls_total",
+        "Calls to the log service, by kind and outcome.",
+        registry=registry,
+    )
+    for call in status.log_calls:
+        calls.set({"kind": call.kind, "outcome": call.outcome}, call.count)
+    tokens = Gauge(
+        "mangospoke_account_tokens",
+        "Requests of an account that this host may admit now.",
+        registry=registry,
+    )
+    demand = Gauge(
+        "mangospoke_account_demand",
+        "Requests a second of an account that arrive at this host.",
+        registry=registry,
+    )
+    for account in status.tokens:
+        tokens.set({"account": account.account_id}, account.tokens)
+        demand.set({"account": account.account_id}, account.demand)
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -107,6 +107,32 @@
     control_bytes_received: int
 
 
+class TokenStatus(Struct, frozen=True):
+    """What a host that shares rates by lending has of an account.
+
+    Attributes:
+        tokens: Requests that it may admit now.
+        demand: Requests a second that arrive at it.
+    """
+
+    account_id: ClientAccountId
+    tokens: float
+    demand: float
+
+
+class LogCallCount(Struct, frozen=True):
+    """Calls to the log service.
+
+    Attributes:
+        kind: The call.
+        outcome: HTTP status of the answer, or `no-answer`.
+    """
+
+    kind: str
+    outcome: str
+    count: int
+
+
 class OverloadStatus(Struct, frozen=True):
     """An overload that this host's guard sees.
 
@@ -135,6 +161,10 @@
         quarantines: Requests suspected or refused since upstreams died of them.
         state: How fresh all of this is.
         overloads: Overloads that its guard sees now.
+        tokens: What it has of each account's rate, where rates are lent.
+        log_calls: Calls to the log service since the daemon started.
+        proof_age_s: Seconds since the configuration in force was last known to be
+            the newest; None where nobody keeps account of that.
     """
 
     host_id: HostId
@@ -153,3 +183,6 @@
     quarantines: tuple[QuarantineStatus, ...] = ()
     state: StateStatus | None = None
     overloads: tuple[OverloadStatus, ...] = ()
+    tokens: tuple[TokenStatus, ...] = ()
+    log_calls: tuple[LogCallCount, ...] = ()
+    proof_age_s: float | None = None
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -121,6 +121,7 @@
         key_use=KeyUse(head.key_use),
         version=head.version,
         is_sub_call=head.is_sub_call,
+        entered_at=trio.current_time(),
     )
 
 
--- a/mangospoke/platform/__main__.py
+++ b/mangospoke/platform/__main__.py
@@ -24,8 +24,10 @@
 
 def open_platform(hosting: Hosting) -> Platform:
     """Makes the platform's side of a hosted daemon."""
+    log = store.StoreLog(hosting.settings.log)
     return Platform(
-        log=store.StoreLog(hosting.settings.log),
+        log=log,
+        log_calls=log.calls,
         configuration_topic=store.CONFIGURATION_TOPIC,
         configuration_key=store.CONFIGURATION_KEY,
         hosts_topic=store.HOSTS_TOPIC,
--- a/mangospoke/platform/headers.py
+++ b/mangospoke/platform/headers.py
@@ -64,9 +64,15 @@
         request_id=RequestId(request_id.decode("latin-1")) if request_id else None,
         time_left_s=int(time_left) / 1000 if time_left.isdigit() else None,
         key_id=digest_key(key) if key is not None else None,
+        parent_id=_parent_of(request_id or b""),
     )
 
 
+def _parent_of(request_id: bytes) -> RequestId:
+    """An upstream's call has the id of the request behind it, a point and more."""
+    return RequestId(request_id.rpartition(b".")[0].decode("latin-1"))
+
+
 def _passed_on(request: HttpRequest, service: ServiceName) -> Headers:
     headers = [pair for pair in request.headers if pair[0] not in _DROPPED]
     headers.append((_CALLER, service.encode()))
--- a/mangospoke/rates/borrowing.py
+++ b/mangospoke/rates/borrowing.py
@@ -10,6 +10,7 @@
 from mangospoke.control.interface import Control, ControlError
 from mangospoke.control.messages import Message
 from mangospoke.ids import ClientAccountId, HostId
+from mangospoke.observability.status import TokenStatus
 from mangospoke.rates.lending import LendingShares
 from mangospoke.rates.messages import BorrowTokens, TokensLent
 from mangospoke.rates.timing import read_clock
@@ -84,13 +85,22 @@
     def _refuse(self, account: EffectiveAccount, now: int) -> Refused:
         self._shares.refuse(account.account_id)
         wait_s = self._shares.wait_s(account, now)
-        return Refused(RefusalReason.OVER_RATE, "the account is over its rate", wait_s)
+        status = self._shares.status(account.account_id, now)
+        detail = (
+            f"the account is over its rate of {account.rate}/s: {status.demand:.1f}/s "
+            f"arrive at this host, {status.tokens:.2f} tokens are left here"
+        )
+        return Refused(RefusalReason.OVER_RATE, detail, wait_s)
 
     async def _lend(self, question: BorrowTokens) -> Message:
         accounts_by_id = self._fleet.configuration.accounts_by_id
         lent = self._shares.lend(question.wants, accounts_by_id, self._clock())
         return TokensLent(lent)
 
+    def statuses(self) -> tuple[TokenStatus, ...]:
+        """What this host has of each account that it has seen."""
+        return self._shares.statuses(self._clock())
+
     async def run(self) -> None:
         """Asks other hosts for what is missing, until it is cancelled."""
         while True:
--- a/mangospoke/rates/lending.py
+++ b/mangospoke/rates/lending.py
@@ -19,6 +19,7 @@
 
 from mangospoke.conf.effective import EffectiveAccount
 from mangospoke.ids import ClientAccountId
+from mangospoke.observability.status import TokenStatus
 from mangospoke.rates.bucket import TokenBucket
 from mangospoke.rates.messages import TokenAmount
 from mangospoke.rates.timing import NS_PER_MS, NS_PER_S
@@ -188,6 +189,15 @@
         burst = max(burst - outstanding, burst / 2)
         return int(rate * MILLI / hosts), int(burst * MILLI / hosts)
 
+    def statuses(self, now: int) -> tuple[TokenStatus, ...]:
+        """What this host has of each account that it has seen."""
+        return tuple(self.status(each, now) for each in self._accounts_by_id)
+
+    def status(self, account_id: ClientAccountId, now: int) -> TokenStatus:
+        """What this host has of an account that it has seen."""
+        held = self._accounts_by_id[account_id]
+        return TokenStatus(account_id, held.level(now) / MILLI, held.demand)
+
     def smooth(self, now: int) -> None:
         """Folds the arrivals since the last time into the demand."""
         elapsed_ns = now - self._smoothed_at
--- a/mangospoke/state/configuration_source.py
+++ b/mangospoke/state/configuration_source.py
@@ -51,6 +51,7 @@
         self._read_clock = read_clock
         self._content = b""
         self._newest_is_usable = False
+        self._was_fresh = False
         control.handlers_by_type[AskConfiguration] = self._answer
 
     def take(self, records: Sequence[KeyedRecord]) -> None:
@@ -87,9 +88,25 @@
         """Asks peers while the log service is silent, until it is cancelled."""
         while True:
             await trio.sleep(_CHECK_S * random.uniform(0.8, 1.2))
+            self._note_freshness()
             if self._freshness.age_s() > _STALE_S:
                 await self._ask_peers()
 
+    def _note_freshness(self) -> None:
+        is_fresh = self._freshness.is_fresh()
+        if is_fresh == self._was_fresh:
+            return
+        self._was_fresh = is_fresh
+        line = logger.bind(
+            event="keys_accepted" if is_fresh else "keys_refused",
+            proof_age_s=round(self._freshness.age_s(), 3),
+            configuration=self._fleet.configuration.version,
+        )
+        if is_fresh:
+            line.info("the configuration is known to be the newest")
+        else:
+            line.warning("nobody vouches for the configuration: keys are refused")
+
     async def _ask_peers(self) -> None:
         hosts = [
             host
--- /dev/null
+++ b/tests/forensics/test_story.py
@@ -0,0 +1,262 @@
+"""Stories and summaries told from lines as daemons write them."""
+
+from datetime import UTC, datetime, timedelta
+
+import msgspec
+import pytest
+
+from mangospoke.forensics.causes import CAUSES_BY_FAILURE, CAUSES_BY_REFUSAL, cause_of
+from mangospoke.forensics.reading import read_line, read_logs
+from mangospoke.forensics.story import tell
+from mangospoke.forensics.summary import summarize
+from mangospoke.management.commands import explain, losses
+from mangospoke.management.exits import ExitCode
+from mangospoke.observability.events import (
+    Attempt,
+    LinesLeftOut,
+    RequestEnded,
+    RequestGuarded,
+)
+from mangospoke.verdicts import RULES_BY_FAILURE, RULES_BY_REFUSAL
+
+NOON = datetime(2026, 12, 4, 12, tzinfo=UTC)
+
+
+def written(event, host="a1", at_s=0.0):
+    """An event's line, as a daemon writes it."""
+    fields = {
+        "time": (NOON + timedelta(seconds=at_s)).isoformat(timespec="milliseconds"),
+        "host_id": host,
+        **msgspec.to_builtins(event),
+    }
+    return msgspec.json.encode(fields)
+
+
+def line(event, host="a1", at_s=0.0):
+    return read_line(written(event, host, at_s))
+
+
+def belief(event, message, host="a1", at_s=0.0):
+    at = (NOON + timedelta(seconds=at_s)).isoformat(timespec="milliseconds")
+    fields = {"time": at, "host_id": host, "event": event, "message": message}
+    return read_line(msgspec.json.encode(fields))
+
+
+def ended(**changes):
+    fields = {
+        "request_id": "9c41",
+        "service": "bookings",
+        "route": "book",
+        "account": "acme",
+        "outcome": "unanswered",
+        "verdict": "may-have-run",
+        "reason": "peer-silent",
+        "detail": "the peer doesn't answer",
+        "elapsed_ms": 500.0,
+        "allowed_ms": 500.0,
+        "target_ms": 150.0,
+        "configuration": 12,
+        "proof_age_ms": 250.0,
+        "attempts": (
+            Attempt(
+                host="b1",
+                placed="own-domain",
+                outcome="peer-silent",
+                after_ms=0.4,
+                took_ms=499.6,
+            ),
+        ),
+    }
+    return RequestEnded(**{**fields, **changes})
+
+
+def guarded(**changes):
+    fields = {
+        "request_id": "9c41",
+        "service": "bookings",
+        "outcome": "answered",
+        "verdict": "ran",
+        "status": 200,
+        "instance": "i-7",
+        "waited_ms": 12.0,
+        "ran_ms": 130.0,
+        "running": 62,
+        "limit": 62,
+        "queued": 3,
+    }
+    return RequestGuarded(**{**fields, **changes})
+
+
+@pytest.mark.parametrize("reason", list(RULES_BY_REFUSAL))
+def test_each_refusal_has_a_cause(reason):
+    assert cause_of("refused", reason.value) == CAUSES_BY_REFUSAL[reason]
+
+
+@pytest.mark.parametrize("reason", list(RULES_BY_FAILURE))
+def test_each_failure_has_a_cause(reason):
+    assert cause_of("unanswered", reason.value) == CAUSES_BY_FAILURE[reason]
+
+
+def test_what_stands_before_a_line_is_passed_over():
+    content = written(ended())
+    read = read_line(b"  12.345 sidecar-a-1| " + content + b"\r\n")
+    assert read.known == ended()
+    assert read.host == "a1"
+    assert read_line(b"no line of ours") is None
+    assert read_line(b'{"other": 1}') is None
+
+
+def test_a_lost_request_is_told_over_two_hosts(snapshot):
+    lines = [
+        belief("log_lost", "the hosts can't be read", "b1", -2.0),
+        line(guarded(), "b1", 0.1),
+        line(ended(), "a1", 0.5),
+    ]
+    story = tell("9c41", lines)
+    assert story.cause.startswith("peer-silent: ")
+    assert "\n".join(story.sentences) == snapshot
+
+
+def test_a_refusal_within_the_rate_is_told(snapshot):
+    refused = ended(
+        outcome="refused",
+        verdict="not-run",
+        reason="queue-full",
+        detail="no place became free in time",
+        retry_after_s=0.6,
+        attempts=(
+            Attempt(
+                host="b1",
+                placed="least-loaded",
+                outcome="queue-full",
+                after_ms=0.2,
+                took_ms=480.0,
+            ),
+        ),
+    )
+    seen = guarded(
+        outcome="refused",
+        verdict="not-run",
+        status=0,
+        reason="queue-full",
+        waited_ms=480.0,
+        ran_ms=0.0,
+    )
+    story = tell("9c41", [line(seen, "b1", 0.4), line(refused, "a1", 0.5)])
+    assert story.cause == "queue-full: no place at the upstream became free in time"
+    assert "\n".join(story.sentences) == snapshot
+
+
+@pytest.mark.parametrize(
+    ("waited_ms", "ran_ms", "cause"),
+    [
+        (300.0, 100.0, "late: it waited 300 ms for its turn"),
+        (10.0, 390.0, "late: it spent 390 ms in the upstream"),
+    ],
+)
+def test_a_late_answer_is_put_down_to_where_the_time_went(waited_ms, ran_ms, cause):
+    attempt = Attempt(
+        host="b1", placed="own-domain", outcome="answered", after_ms=0.2, took_ms=400.0
+    )
+    late = ended(
+        outcome="answered",
+        verdict="ran",
+        reason="",
+        detail="",
+        status=200,
+        elapsed_ms=401.0,
+        attempts=(attempt,),
+    )
+    seen = guarded(waited_ms=waited_ms, ran_ms=ran_ms)
+    story = tell("9c41", [line(seen, "b1", 0.4), line(late, "a1", 0.4)])
+    assert story.cause == cause
+
+
+def test_a_failed_answer_is_put_down_to_the_call_that_failed_below():
+    failed = ended(outcome="answered", verdict="ran", reason="", status=502)
+    call = ended(
+        request_id="9c41.1",
+        parent="9c41",
+        service="batches",
+        outcome="answered",
+        verdict="ran",
+        reason="",
+        status=502,
+    )
+    deepest = ended(
+        request_id="9c41.1.7",
+        parent="9c41.1",
+        service="lots",
+        outcome="refused",
+        verdict="not-run",
+        reason="queue-full",
+    )
+    lines = [line(deepest, "c1", 0.1), line(call, "b1", 0.2), line(failed, "a1", 0.5)]
+    assert tell("9c41", lines).cause == (
+        "the upstream itself answered with status 502; its call to lots was refused, "
+        "queue-full: no place at the upstream became free in time"
+    )
+
+
+def test_a_silent_host_that_started_anew_is_said_to_have():
+    lines = [line(ended(), "a1", 0.5), belief("started", "serving", "b1", 1.0)]
+    story = tell("9c41", lines)
+    assert "b1: its daemon started anew at 12:00:01.000." in story.sentences
+
+
+def test_a_request_whose_entry_was_killed_is_told_from_the_guards_line():
+    lines = [line(guarded(), "b1", 0.1), belief("started", "serving", "a1", 2.0)]
+    story = tell("9c41", lines)
+    assert story.cause.startswith("the daemon where it entered")
+
+
+def test_clocks_that_differ_do_not_put_beliefs_out_of_order():
+    """The clock of b1 is 60 s ahead, as the answered requests show."""
+    attempt = Attempt(
+        host="b1", placed="own-domain", outcome="answered", after_ms=0, took_ms=100
+    )
+    lines = [belief("ejected", "c1 ejected", "b1", 59.0)]
+    for number in range(5):
+        answered = ended(
+            request_id=f"r{number}",
+            outcome="answered",
+            verdict="ran",
+            reason="",
+            attempts=(attempt,),
+        )
+        lines.append(line(answered, "a1", -number))
+        lines.append(line(guarded(request_id=f"r{number}"), "b1", 60 - number))
+    lines.append(line(ended(), "a1", 0.0))
+    story = tell("9c41", sorted(lines, key=lambda each: each.time))
+    assert "1.0 s before that, b1: c1 ejected." in story.sentences
+
+
+def test_nothing_is_told_of_what_no_line_names():
+    assert tell("other", [line(ended())]).sentences == ()
+
+
+def test_losses_are_counted_by_reason(tmp_path, capsys):
+    path = tmp_path / "logs"
+    content = [
+        written(ended(request_id="r1"), at_s=-100),
+        written(ended(request_id="r2")),
+        written(ended(request_id="r3", service="other")),
+        written(ended(outcome="answered", verdict="ran", reason="")),
+        written(LinesLeftOut(counts={"ended/answered": 7})),
+    ]
+    path.write_bytes(b"\n".join(content))
+    summary = summarize(read_logs([path]), NOON, "bookings")
+    assert list(summary.counts.values()) == [1]
+    assert (summary.answered, summary.late) == (1, 1)
+    assert summary.left_out == {"ended/answered": 7}
+    assert losses.run(path) is ExitCode.OK
+    assert "peer-silent" in capsys.readouterr().out
+
+
+def test_the_command_says_when_logs_do_not_tell(tmp_path, capsys):
+    path = tmp_path / "logs"
+    path.write_bytes(written(ended()))
+    assert explain.run("9c41", path) is ExitCode.OK
+    assert "Cause: peer-silent" in capsys.readouterr().out
+    assert explain.run("none", path) is ExitCode.FAULTS_FOUND
+    assert "No line" in capsys.readouterr().out
