--- a/mangospoke/observability/decisions.py
+++ b/mangospoke/observability/decisions.py
@@ -34,6 +34,10 @@
 _FIRST_FAILURE_STATUS = 500
 _LONGEST_DETAIL = 200
 
+_SLOW_WAIT_S = 0.1
+_SLOW_RUN_S = 0.5
+"""Times beside an upstream beyond which an answer may have become late by it."""
+
 _OWN_DOING = frozenset(
     {
         RefusalReason.OVER_RATE,
@@ -214,7 +218,8 @@
         self.latencies.queue[call.service].observe(began_at - arrived_at)
         if began_at < now:
             self.latencies.upstream[call.service].observe(now - began_at)
-        retention = _retention_of(outcome, is_late=False)
+        is_slow = began_at - arrived_at > _SLOW_WAIT_S or now - began_at > _SLOW_RUN_S
+        retention = _retention_of(outcome, is_slow)
         if self._log is None or not self._may_write(retention, "guarded", outcome):
             return
         load = read_load()
@@ -252,7 +257,7 @@
         failed = outcome.status >= _FIRST_FAILURE_STATUS
         return Retention.NOTABLE if failed or is_late else Retention.ROUTINE
     if isinstance(outcome, Refused) and outcome.reason in _OWN_DOING:
-        return Retention.NOTABLE
+        return Retention.REFUSAL
     return Retention.LOSS
 
 
--- a/mangospoke/observability/events.py
+++ b/mangospoke/observability/events.py
@@ -14,12 +14,14 @@
 
     `LOSS`: explains a request that was lost or may have run, or a refusal that its
     account did not cause. `BELIEF`: what this host knows has changed. `NOTABLE`:
-    over a rate, served late, or failed by the upstream itself. `ROUTINE`: a success.
+    served late or slowly, or failed by the upstream itself. `REFUSAL`: one that the
+    caller's own doing explains, such as a rate. `ROUTINE`: a success.
     """
 
     LOSS = "loss"
     BELIEF = "belief"
     NOTABLE = "notable"
+    REFUSAL = "refusal"
     ROUTINE = "routine"
 
 
--- a/mangospoke/observability/sink.py
+++ b/mangospoke/observability/sink.py
@@ -30,6 +30,7 @@
     Retention.LOSS: 200,
     Retention.BELIEF: 100,
     Retention.NOTABLE: 50,
+    Retention.REFUSAL: 50,
     Retention.ROUTINE: 50,
 }
 """Lines written in a second at most."""
@@ -38,6 +39,7 @@
     Retention.LOSS: 524_288,
     Retention.BELIEF: 131_072,
     Retention.NOTABLE: 65_536,
+    Retention.REFUSAL: 65_536,
     Retention.ROUTINE: 65_536,
 }
 """Bytes that wait for a reader at most."""
--- /dev/null
+++ b/tests/observability/test_monitoring.py
@@ -0,0 +1,57 @@
+"""The alerts and the dashboard name metrics that daemons serve."""
+
+import json
+import re
+from pathlib import Path
+
+import pytest
+
+from mangospoke.ids import HostId, ServiceName
+from mangospoke.observability.metrics import render_metrics
+from mangospoke.observability.status import (
+    LogCallCount,
+    OutcomeCount,
+    TokenStatus,
+    UpstreamStatus,
+)
+from mangospoke.verdicts import Verdict
+from tests.observability.test_metrics import Metrics, make_status
+
+MONITORING = Path(__file__).parents[2] / "deploy" / "monitoring"
+
+
+def served():
+    status = make_status(
+        upstream=UpstreamStatus("s", "a:1", False, 4, 1, 0, 0.0),
+        outcomes=(OutcomeCount("acme", "s", Verdict.RAN, "answered", 1),),
+        proof_age_s=0.1,
+        tokens=(TokenStatus("acme", 1.0, 1.0),),
+        log_calls=(LogCallCount("/log-read", "200", 1),),
+    )
+    metrics = Metrics(status)
+    metrics.left_out["ended/answered"] = 1
+    metrics.decisions.ejections[(ServiceName("s"), HostId("h"))] = 1
+    for histograms in (
+        metrics.decisions.latencies.request,
+        metrics.decisions.latencies.queue,
+        metrics.decisions.latencies.upstream,
+    ):
+        histograms["s"].observe(0.1)
+    metrics.lag.histogram.observe(0.1)
+    text = render_metrics(status, metrics.decisions, metrics.lag, metrics.left_out)
+    return set(re.findall(r"^(mangospoke_\w+)", text.decode(), re.MULTILINE))
+
+
+def expressions():
+    alerts = (MONITORING / "alerts.yaml").read_text()
+    dashboard = json.loads((MONITORING / "dashboard.json").read_text())
+    yield alerts
+    for panel in dashboard["panels"]:
+        yield from (target["expr"] for target in panel["targets"])
+
+
+@pytest.mark.parametrize("text", list(expressions()))
+def test_each_metric_is_served(text):
+    named = set(re.findall(r"mangospoke_\w+", text))
+    assert named
+    assert named <= served()
