Give each machine of the platform's tests an address of its own

The log of machine-1 has Errno 98, address already in use: the harness looked for free ports among those that outgoing connections take, and another worker's connection took one before the daemon bound it. With the operations listener a daemon binds one more.

Change: the harness uses a reserved loopback network, as the local fleets do, with fixed ports on an address for each machine.

--- a/tests/platform/mesh.py
+++ b/tests/platform/mesh.py
@@ -1,7 +1,6 @@
 """A few hosted daemons as processes, with stand-ins of store and upstreams."""
 
 import os
-import socket
 from collections import Counter
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -9,6 +8,7 @@
 import msgspec
 import trio
 
+from mangospoke.bench.network import reserve_network
 from mangospoke.bench.processes import ManagedProcess
 from mangospoke.bench.waiting import wait_until
 from mangospoke.conf.settings import Limits
@@ -26,6 +26,8 @@
 KEY = "the-key"
 HOST = "shop.example"
 SERVICES = ("front", "back")
+LISTEN_PORTS = (8548, 8543, 8546, 8540)
+PORT_RANGE = [7000, 7015]
 
 
 def configuration(version, *, keys=(KEY,), rate=0, timeout="2s", service="back"):
@@ -56,14 +58,6 @@
     }
 
 
-def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class Upstream:
     """A stand-in upstream that echoes what it got; `delay_s` holds answers back."""
 
@@ -93,15 +87,14 @@
 class Machine:
     """A daemon's process and its addresses."""
 
-    def __init__(self, number, upstream, store_address, directory):
-        ports = free_ports(7)
+    def __init__(self, number, ip, upstream, store_address, directory):
         self.upstream = upstream
         self.outbound, self.inbound, self.ready, self.control = (
-            f"127.0.0.1:{port}" for port in ports[:4]
+            f"{ip}:{port}" for port in LISTEN_PORTS
         )
         settings = {
             "nodeName": f"machine-{number}",
-            "ip": "127.0.0.1",
+            "ip": ip,
             "zone": "a",
             "region": "r",
             "listen": {
@@ -110,7 +103,7 @@
                 "ready": self.ready,
                 "control": self.control,
             },
-            "portRange": [self._free_range(), 0],
+            "portRange": PORT_RANGE,
             "appAddr": upstream.address,
             "service": upstream.service,
             "bootstrap": True,
@@ -123,18 +116,6 @@
         arguments = ["-m", "mangospoke.platform"]
         self.process = ManagedProcess(f"machine-{number}", arguments, Path(directory))
 
-    @staticmethod
-    def _free_range():
-        """A port whose two successors are free as well."""
-        while True:
-            (first,) = free_ports(1)
-            try:
-                for port in range(first, first + 3):
-                    socket.create_server(("127.0.0.1", port)).close()
-            except OSError:
-                continue
-            return first
-
     def start(self):
         os.environ["MANGOSPOKE_CONFIG"] = str(self.settings_path)
         os.environ["MANGOSPOKE_FLEET_SECRET"] = "secret"
@@ -206,26 +187,30 @@
     """Runs a machine a service until the block ends."""
     store = FakeStore()
     mesh = Mesh(store)
-    async with trio.open_nursery() as nursery:
-        address = await nursery.start(store.serve)
-        store.put("keyed.op", "config", configuration(version, **settings))
-        for number, service in enumerate(SERVICES):
-            upstream = Upstream(service)
-            upstream.address = await nursery.start(serve_upstream, upstream)
-            machine = Machine(number, upstream, address, directory)
-            mesh.machines_by_service[service] = machine
-            machine.start()
-        try:
-            for machine in mesh.machines_by_service.values():
-                await wait_until(machine.is_ready, "a ready machine")
-                assert (await machine.beat()).status == 200
-            await wait_until(lambda: serves(mesh), "the first answer")
-            yield mesh
-        finally:
-            for machine in mesh.machines_by_service.values():
-                if machine.process.is_running:
-                    os.kill(machine.process.pid, 9)
-            nursery.cancel_scope.cancel()
+    # An address of its own for each machine: ports found to be free may be taken
+    # before the machine binds them.
+    with reserve_network() as network:
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(store.serve)
+            store.put("keyed.op", "config", configuration(version, **settings))
+            for number, service in enumerate(SERVICES):
+                upstream = Upstream(service)
+                upstream.address = await nursery.start(serve_upstream, upstream)
+                ip = network.host_ip(number)
+                machine = Machine(number, ip, upstream, address, directory)
+                mesh.machines_by_service[service] = machine
+                machine.start()
+            try:
+                for machine in mesh.machines_by_service.values():
+                    await wait_until(machine.is_ready, "a ready machine")
+                    assert (await machine.beat()).status == 200
+                await wait_until(lambda: serves(mesh), "the first answer")
+                yield mesh
+            finally:
+                for machine in mesh.machines_by_service.values():
+                    if machine.process.is_running:
+                        os.kill(machine.process.pid, 9)
+                nursery.cancel_scope.cancel()
 
 
 async def serves(mesh):
