One piece where two stood: idle connections, control questions, quotas, status, test calls

The pools of idle connections in guard/upstream.py and logservice/calls.py, the answering of a control question in control/transport.py and peers/control.py, the type Quota, most of the two daemons' status, five makers of calls in tests and two servers in tests stood twice. A host that borrows tokens counted those who wait beside the queue that holds them, and computed the same question for each host asked.

Change: http/pool.py, handle_question in control/interface.py, one Quota in rates/site_limits.py, a common part in daemon/status.py; the queue says how many wait, and one question goes to all hosts of a round, its time taken before the first is sent; tests/harness/calls.py and serving.py. Behaviour stays, no assertion changed.

--- a/mangospoke/control/interface.py
+++ b/mangospoke/control/interface.py
@@ -3,7 +3,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol, TypeVar
 
-from mangospoke.control.messages import Message
+import msgspec
+from loguru import logger
+
+from mangospoke.control.messages import Message, Rejected
 
 Handler = Callable[[Any], Awaitable[Message]]
 AnswerType = TypeVar("AnswerType", bound=Message)
@@ -50,3 +53,27 @@
     for message_type in types:
         union = union | message_type
     return union
+
+
+async def handle_question(
+    handlers_by_type: dict[type[Message], Handler],
+    decoder: msgspec.msgpack.Decoder,
+    content: bytes,
+) -> Message:
+    """Answers a question, whatever carried it.
+
+    Args:
+        handlers_by_type: What answers a message, by its type.
+        decoder: Decodes messages that have a handler.
+        content: The question's bytes.
+    """
+    try:
+        question = decoder.decode(content)
+    except msgspec.MsgspecError as error:
+        return Rejected(str(error))
+    try:
+        return await handlers_by_type[type(question)](question)
+    except Exception as error:
+        # One question's fault must not end the answering of all others.
+        logger.exception("a control message's handler failed")
+        return Rejected(repr(error))
--- a/mangospoke/control/transport.py
+++ b/mangospoke/control/transport.py
@@ -24,6 +24,7 @@
     AnswerType,
     ControlError,
     Handler,
+    handle_question,
     union_of,
 )
 from mangospoke.control.messages import EpochOver, Message, Rejected
@@ -217,7 +218,9 @@
             return None
         answer: Message = EpochOver()
         if self._replay_guard.take(envelope):
-            answer = await self._handle(envelope.content, decoder)
+            answer = await handle_question(
+                self.handlers_by_type, decoder, envelope.content
+            )
         content = msgspec.msgpack.encode(answer)
         epoch = self._replay_guard.epoch
         sealed = seal((secret,), _ANSWER, epoch, envelope.nonce, content)
@@ -231,20 +234,6 @@
                 "control message dropped: {}", reason
             )
 
-    async def _handle(
-        self, content: bytes, decoder: msgspec.msgpack.Decoder
-    ) -> Message:
-        try:
-            question = decoder.decode(content)
-        except msgspec.MsgspecError as error:
-            return Rejected(str(error))
-        try:
-            return await self.handlers_by_type[type(question)](question)
-        except Exception as error:
-            # One question's fault must not end the answering of all others.
-            logger.exception("a control message's handler failed")
-            return Rejected(repr(error))
-
     def close(self) -> None:
         """Closes the sockets towards peers."""
         self._sockets.close()
--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -20,7 +20,7 @@
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.ingress.homes import KeyHomes
 from mangospoke.ingress.local import LocalEntrance
-from mangospoke.ingress.public import PublicEntrance, Quota
+from mangospoke.ingress.public import PublicEntrance
 from mangospoke.logservice.client import LogClient
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.observability.incidents import Incidents
@@ -30,7 +30,7 @@
 from mangospoke.peers.client import PeerPool
 from mangospoke.peers.handshake import Identity
 from mangospoke.rates.service import Rates, open_rates
-from mangospoke.rates.site_limits import SiteLimits
+from mangospoke.rates.site_limits import Quota, SiteLimits
 from mangospoke.rates.static import StaticShares
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
+
+import msgspec
 
 from mangospoke.guard.guard import Guard
 from mangospoke.logservice.calls import LogCalls
@@ -10,64 +12,74 @@
 from mangospoke.observability.status import (
     DaemonStatus,
     LogCallCount,
+    LogHealth,
     OutcomeCount,
     UpstreamStatus,
 )
 from mangospoke.rates.status import read_shares
 
 if TYPE_CHECKING:
+    from mangospoke.conf.settings import Settings
     from mangospoke.daemon.assembly import Daemon
     from mangospoke.daemon.hosted import HostedDaemon
+    from mangospoke.guard.poison import PoisonControl
     from mangospoke.ids import ServiceName
+    from mangospoke.observability.overload import OverloadWatch
+    from mangospoke.peers.handshake import Identity
     from mangospoke.state.fleet import Fleet
 
 
+class _Parts(Protocol):
+    """What every daemon has, whatever it learns from."""
+
+    settings: Settings
+    identity: Identity
+    fleet: Fleet
+    decisions: DecisionLog
+    guard: Guard
+    poison: PoisonControl
+    overload: OverloadWatch
+
+
 def read_status(daemon: Daemon) -> DaemonStatus:
     """Reads what a daemon tells of itself."""
-    fleet = daemon.fleet
-    return DaemonStatus(
-        host_id=daemon.identity.host_id,
-        failure_domain=daemon.identity.failure_domain,
-        site=daemon.settings.host.site,
-        incarnation=daemon.identity.incarnation,
-        configuration_version=fleet.configuration.version,
-        offsets=_offsets(fleet),
-        upstreams_known=_count_upstreams(fleet),
-        upstream=_upstream_status(daemon.guard),
-        outcomes=_count_outcomes(daemon.decisions),
-        draining=daemon.public.draining,
-        log=daemon.log_client.health(),
-        shares=read_shares(daemon.rates, fleet.configuration),
+    return msgspec.structs.replace(
+        _read_common(daemon, daemon.public.draining, daemon.log_client.health()),
+        offsets=_offsets(daemon.fleet),
+        shares=read_shares(daemon.rates, daemon.fleet.configuration),
         grantor_state=daemon.rates.grantor.state.value,
         state=daemon.state.status(),
-        quarantines=daemon.poison.statuses(),
-        overloads=daemon.overload.statuses(),
     )
 
 
 def read_hosted_status(daemon: HostedDaemon) -> DaemonStatus:
     """Reads what a hosted daemon tells of itself."""
-    fleet = daemon.fleet
-    return DaemonStatus(
-        host_id=daemon.identity.host_id,
-        failure_domain=daemon.identity.failure_domain,
-        site=daemon.settings.host.site,
-        incarnation=daemon.identity.incarnation,
-        configuration_version=fleet.configuration.version,
-        offsets={},
-        upstreams_known=_count_upstreams(fleet),
-        upstream=_upstream_status(daemon.guard),
-        outcomes=_count_outcomes(daemon.decisions),
-        draining=daemon.registrar.stopping,
-        log=daemon.log_calls.health(),
-        quarantines=daemon.poison.statuses(),
-        overloads=daemon.overload.statuses(),
+    return msgspec.structs.replace(
+        _read_common(daemon, daemon.registrar.stopping, daemon.log_calls.health()),
         tokens=daemon.rates.statuses(),
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
     )
 
 
+def _read_common(parts: _Parts, draining: bool, log: LogHealth) -> DaemonStatus:
+    return DaemonStatus(
+        host_id=parts.identity.host_id,
+        failure_domain=parts.identity.failure_domain,
+        site=parts.settings.host.site,
+        incarnation=parts.identity.incarnation,
+        configuration_version=parts.fleet.configuration.version,
+        offsets={},
+        upstreams_known=_count_upstreams(parts.fleet),
+        upstream=_upstream_status(parts.guard),
+        outcomes=_count_outcomes(parts.decisions),
+        draining=draining,
+        log=log,
+        quarantines=parts.poison.statuses(),
+        overloads=parts.overload.statuses(),
+    )
+
+
 def _count_upstreams(fleet: Fleet) -> dict[ServiceName, int]:
     return {
         service: len(upstreams)
--- a/mangospoke/guard/upstream.py
+++ b/mangospoke/guard/upstream.py
@@ -25,6 +25,7 @@
     open_connection,
 )
 from mangospoke.http.messages import HttpAnswer
+from mangospoke.http.pool import IdleConnections
 from mangospoke.ids import ExecutionToken, InstanceId
 from mangospoke.verdicts import (
     Answered,
@@ -81,7 +82,7 @@
         self.report: UpstreamReport | None = None
         self._limits = limits
         self._dialect = dialect
-        self._idle: list[_IdleConnection] = []
+        self._idle = IdleConnections()
         self._in_use = 0
 
     async def execute(
@@ -133,13 +134,8 @@
         return outcome
 
     async def _connection(self) -> HttpConnection:
-        now = trio.current_time()
-        while self._idle:
-            idle = self._idle.pop()
-            if now < idle.usable_until and not idle.connection.is_stale():
-                return idle.connection
-            await idle.connection.aclose()
-        return await open_connection(
+        idle = await self._idle.take()
+        return idle or await open_connection(
             self.address, self._limits.head_bytes, _CONNECT_TIMEOUT_S
         )
 
@@ -190,14 +186,13 @@
         has_room = self._in_use + len(self._idle) <= self.maximum
         if has_room and exchange.connection.is_reusable():
             until = trio.current_time() + _idle_s(exchange.marks)
-            self._idle.append(_IdleConnection(exchange.connection, until))
+            self._idle.put(exchange.connection, until)
         else:
             await exchange.connection.aclose()
 
     async def aclose(self) -> None:
         """Closes the idle connections."""
-        while self._idle:
-            await self._idle.pop().connection.aclose()
+        await self._idle.aclose()
 
 
 def _idle_s(marks: AnswerMarks) -> float:
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -18,10 +18,10 @@
 from mangospoke.ingress.calls import NO_ACCOUNT, new_request_id
 from mangospoke.ingress.dialect import CallerDialect, CallerFields
 from mangospoke.ingress.dispatch import Dispatcher
-from mangospoke.ingress.public import Quota
 from mangospoke.ingress.shedding import RootShedding, come_back_s
 from mangospoke.ingress.splitting import WeightedSplit
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.rates.site_limits import Quota
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.verdicts import Outcome, RefusalReason, Refused
--- a/mangospoke/ingress/public.py
+++ b/mangospoke/ingress/public.py
@@ -1,12 +1,10 @@
 """The public listener: callers outside, who are trusted with nothing but a key."""
 
 import math
-from collections.abc import Awaitable, Callable
 
 import trio
 
 from mangospoke.conf.declarations import Access
-from mangospoke.conf.effective import EffectiveAccount
 from mangospoke.guard.guard import DRAIN_NOTICE_S
 from mangospoke.http.messages import HttpAnswer, HttpRequest
 from mangospoke.ids import ClientAccountId, FailureDomainId, ServiceName
@@ -15,15 +13,10 @@
 from mangospoke.ingress.calls import NO_ACCOUNT, match_route, root_call
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.rates.site_limits import Quota
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import RefusalReason, Refused
 
-Quota = Callable[[EffectiveAccount], Awaitable[Refused | None]]
-"""Takes one request out of an account's rate, or refuses it.
-
-It may let a request wait for a fraction of a second, but awaits nothing if it needn't.
-"""
-
 _NO_SERVICE = ServiceName("")
 
 
--- a/mangospoke/logservice/calls.py
+++ b/mangospoke/logservice/calls.py
@@ -16,6 +16,7 @@
     open_connection,
 )
 from mangospoke.http.messages import HttpAnswer
+from mangospoke.http.pool import IdleConnections
 from mangospoke.observability.status import LogHealth
 
 _HEAD_BYTES = 16_384
@@ -56,7 +57,7 @@
 
     def __init__(self, settings: LogService) -> None:
         self._settings = settings
-        self._idle: list[HttpConnection] = []
+        self._idle = IdleConnections()
         self._answered_at: float | None = None
         self._failures_in_row = 0
         self.counts: Counter[LogCallKey] = Counter()
@@ -89,6 +90,7 @@
             LogUnavailableError: If no answer came.
         """
         timeout_s = self._settings.timeout_ms / 1000 + wait_s
+        kind = _kind_of(target)
         headers = [
             (b"host", self._settings.address.encode()),
             (b"content-type", content_type),
@@ -106,11 +108,11 @@
             trio.TooSlowError,
         ) as error:
             self._failures_in_row += 1
-            self.counts[(_kind_of(target), _NO_ANSWER)] += 1
+            self.counts[(kind, _NO_ANSWER)] += 1
             raise LogUnavailableError(repr(error)) from error
         self._answered_at = time.monotonic()
         self._failures_in_row = 0
-        self.counts[(_kind_of(target), str(answer.status))] += 1
+        self.counts[(kind, str(answer.status))] += 1
         return answer
 
     async def _exchange_once(
@@ -136,17 +138,15 @@
         return answer
 
     async def _connection(self) -> HttpConnection:
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_stale():
-                return connection
-            await connection.aclose()
         timeout_s = self._settings.timeout_ms / 1000
-        return await open_connection(self._settings.address, _HEAD_BYTES, timeout_s)
+        idle = await self._idle.take()
+        return idle or await open_connection(
+            self._settings.address, _HEAD_BYTES, timeout_s
+        )
 
     async def _put_back(self, connection: HttpConnection) -> None:
         if len(self._idle) < _IDLE_CONNECTIONS:
-            self._idle.append(connection)
+            self._idle.put(connection)
         else:
             await connection.aclose()
 
--- a/mangospoke/observability/logs.py
+++ b/mangospoke/observability/logs.py
@@ -14,8 +14,7 @@
 from mangospoke.observability.events import Event, LinesLeftOut, Retention
 from mangospoke.observability.sink import LineSink
 
-_ERROR_LEVEL = "ERROR"
-_RARE_LEVELS = frozenset({_ERROR_LEVEL, "CRITICAL"})
+_RARE_LEVELS = frozenset({"ERROR", "CRITICAL"})
 
 
 class EventLog:
--- a/mangospoke/peers/control.py
+++ b/mangospoke/peers/control.py
@@ -7,12 +7,12 @@
 
 import msgspec
 import trio
-from loguru import logger
 
 from mangospoke.control.interface import (
     AnswerType,
     ControlError,
     Handler,
+    handle_question,
     union_of,
 )
 from mangospoke.control.messages import Message, Rejected
@@ -59,18 +59,7 @@
 
     async def answer(self, content: bytes) -> bytes:
         """Answers a question of another daemon."""
-        return msgspec.msgpack.encode(await self._handle(content))
-
-    async def _handle(self, content: bytes) -> Message:
         if self._decoder is None:
             self._decoder = msgspec.msgpack.Decoder(union_of(self.handlers_by_type))
-        try:
-            question = self._decoder.decode(content)
-        except msgspec.MsgspecError as error:
-            return Rejected(str(error))
-        try:
-            return await self.handlers_by_type[type(question)](question)
-        except Exception as error:
-            # One question's fault must not end the connection of all others.
-            logger.exception("a control message's handler failed")
-            return Rejected(repr(error))
+        answer = await handle_question(self.handlers_by_type, self._decoder, content)
+        return msgspec.msgpack.encode(answer)
--- a/mangospoke/rates/borrowing.py
+++ b/mangospoke/rates/borrowing.py
@@ -12,7 +12,7 @@
 from mangospoke.ids import ClientAccountId, HostId
 from mangospoke.observability.status import TokenStatus
 from mangospoke.rates.lending import LendingShares
-from mangospoke.rates.messages import BorrowTokens, TokenAmount, TokensLent
+from mangospoke.rates.messages import BorrowTokens, TokensLent
 from mangospoke.rates.timing import read_clock
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import RefusalReason, Refused
@@ -78,7 +78,7 @@
             return None
         if self._shares.may_ask(account.account_id, now):
             self._short.set()
-        if not self._may_wait(account.account_id):
+        if not self._may_wait(account.account_id, waiters):
             return self._refuse(account, now)
         if await self._wait(account):
             return None
@@ -88,11 +88,13 @@
         """Puts back the token of a request that was admitted and did not run."""
         self._shares.give_back(account, self._clock())
 
-    def _may_wait(self, account_id: ClientAccountId) -> bool:
+    def _may_wait(
+        self, account_id: ClientAccountId, waiters: deque[_Waiter] | None
+    ) -> bool:
         # Once questions bring nothing, waiting would only hold up the refusal.
         if not self._shares.may_be_lent(account_id):
             return False
-        return self._shares.waits(account_id, 0) < _WAITING_REQUESTS
+        return not waiters or len(waiters) < _WAITING_REQUESTS
 
     async def _wait(self, account: EffectiveAccount) -> bool:
         """Waits in turn for a token and returns whether one came."""
@@ -145,9 +147,8 @@
                 await trio.sleep(_GATHERING_S)
             now = self._clock()
             self._shares.smooth(now)
-            wanted = self._shares.wants(now)
-            if wanted:
-                await self._ask_around(wanted)
+            if self._shares.wants(now):
+                await self._ask_around()
             self._admit_waiting()
 
     def _tick_s(self) -> float:
@@ -160,17 +161,26 @@
                 longest_s = min(longest_s, _TICK_S, max(earned_s, _GATHERING_S))
         return longest_s
 
-    async def _ask_around(self, wanted: tuple[TokenAmount, ...]) -> None:
+    async def _ask_around(self) -> None:
         hosts = self._fleet.other_hosts(self._host_id, _HOSTS_ASKED)
+        asked_at = self._clock()
+        wanted = self._shares.wants(asked_at, max(1, len(hosts)))
+        question = BorrowTokens(wanted)
         lent: set[ClientAccountId] = set()
         async with trio.open_nursery() as nursery:
             for host in hosts:
-                nursery.start_soon(self._ask, host.control_address, len(hosts), lent)
+                nursery.start_soon(
+                    self._ask, host.control_address, question, asked_at, lent
+                )
         self._shares.asked(wanted, lent, self._clock())
 
-    async def _ask(self, address: str, parts: int, lent: set[ClientAccountId]) -> None:
-        asked_at = self._clock()
-        question = BorrowTokens(self._shares.wants(asked_at, parts))
+    async def _ask(
+        self,
+        address: str,
+        question: BorrowTokens,
+        asked_at: int,
+        lent: set[ClientAccountId],
+    ) -> None:
         try:
             answer = await self._control.ask(address, question, TokensLent, _TIMEOUT_S)
         except ControlError as error:
--- a/mangospoke/rates/lending.py
+++ b/mangospoke/rates/lending.py
@@ -202,11 +202,9 @@
         wait_ns = self._held(account, now).bucket.wait_ns(now)
         return math.inf if wait_ns is None else wait_ns / NS_PER_S
 
-    def waits(self, account_id: ClientAccountId, change: int) -> int:
-        """Changes how many requests of an account wait for a token; returns it."""
-        held = self._accounts_by_id[account_id]
-        held.waiting += change
-        return held.waiting
+    def waits(self, account_id: ClientAccountId, change: int) -> None:
+        """Changes how many requests of an account wait for a token."""
+        self._accounts_by_id[account_id].waiting += change
 
     def _held(self, account: EffectiveAccount, now: int) -> _Account:
         rate, burst = self._share(account)
--- a/mangospoke/rates/site_limits.py
+++ b/mangospoke/rates/site_limits.py
@@ -15,6 +15,10 @@
 from mangospoke.verdicts import Refused
 
 Quota = Callable[[EffectiveAccount], Awaitable[Refused | None]]
+"""Takes one request out of an account's rate, or refuses it.
+
+It may let a request wait for a fraction of a second, but awaits nothing if it needn't.
+"""
 
 
 class SiteLimits:
--- a/tests/guard/test_withdrawn_keys.py
+++ b/tests/guard/test_withdrawn_keys.py
@@ -1,18 +1,15 @@
 """Keys are checked again beside the upstream, by whoever knows the newer version."""
 
 import pytest
-import trio
 
 from mangospoke.announcements import Announcement
-from mangospoke.calls import Call, RetryAllowance
-from mangospoke.conf.declarations import Importance
 from mangospoke.conf.effective import EffectiveConfiguration, EffectiveKey
 from mangospoke.conf.settings import Limits
 from mangospoke.guard.guard import Guard
-from mangospoke.http.bodies import whole_body
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import RefusalReason
+from tests.harness.calls import make_call
 
 NOBODY = "127.0.0.1:9"
 """Nothing listens here, so that a call that is let through is unreachable."""
@@ -25,22 +22,8 @@
 
 
 def call(version, key_id="new"):
-    return Call(
-        request_id="r",
-        account_id="acme",
-        key_id=key_id,
-        service="batches",
-        route="read",
-        method=b"GET",
-        target=b"/",
-        headers=[(b"host", b"x")],
-        body=whole_body(b""),
-        deadline=trio.current_time() + 1,
-        importance=Importance.NORMAL,
-        idempotent=True,
-        idempotency_key=None,
-        retries=RetryAllowance(0),
-        version=version,
+    return make_call(
+        1, key_id=key_id, headers=[(b"host", b"x")], target=b"/", version=version
     )
 
 
--- a/tests/ingress/test_retries.py
+++ b/tests/ingress/test_retries.py
@@ -5,8 +5,7 @@
 import pytest
 import trio
 
-from mangospoke.calls import Call, RetryAllowance
-from mangospoke.conf.declarations import Importance
+from mangospoke.calls import RetryAllowance
 from mangospoke.http.bodies import streamed_body, whole_body
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.logservice.records import UpstreamAnnounced
@@ -22,25 +21,17 @@
     Unanswered,
     Verdict,
 )
+from tests.harness.calls import make_call
 
 HOSTS = 12
 LOST = Unanswered(FailureReason.UPSTREAM_CONNECTION_LOST)
 FULL = Refused(RefusalReason.QUEUE_FULL)
 
 
-def make_call(retries, idempotent=True, deadline_s=1e6, body=None):
-    return Call(
-        request_id="r",
-        account_id="acme",
-        key_id=None,
-        service="batches",
-        route="read",
-        method=b"GET",
-        target=b"/batches/1",
-        headers=[],
+def retried_call(retries, idempotent=True, deadline_s=1e6, body=None):
+    return make_call(
+        deadline_s,
         body=body or whole_body(b""),
-        deadline=trio.current_time() + deadline_s,
-        importance=Importance.NORMAL,
         idempotent=idempotent,
         idempotency_key=None if idempotent else "key",
         retries=retries,
@@ -99,15 +90,15 @@
 
 async def test_a_refusal_is_retried_within_the_allowance(autojump_clock):
     for retries in range(4):
-        call = make_call(RetryAllowance(retries))
+        call = retried_call(RetryAllowance(retries))
         assert await attempts_of(call, FULL) == 1 + retries
 
 
 async def test_what_may_have_run_is_retried_only_if_idempotent(autojump_clock):
-    assert await attempts_of(make_call(RetryAllowance(2)), LOST) == 3
-    booking = make_call(RetryAllowance(2), idempotent=False)
+    assert await attempts_of(retried_call(RetryAllowance(2)), LOST) == 3
+    booking = retried_call(RetryAllowance(2), idempotent=False)
     assert await attempts_of(booking, LOST) == 1
-    booking = make_call(RetryAllowance(2), idempotent=False)
+    booking = retried_call(RetryAllowance(2), idempotent=False)
     assert await attempts_of(booking, FULL) == 3
 
 
@@ -121,7 +112,7 @@
     ],
 )
 async def test_final_refusals_are_not_retried(reason, autojump_clock):
-    call = make_call(RetryAllowance(5))
+    call = retried_call(RetryAllowance(5))
     assert await attempts_of(call, Refused(reason)) == 1
 
 
@@ -132,7 +123,7 @@
     async def run(_call, _holding):
         return outcomes.pop(0)
 
-    outcome = await make_dispatcher(run).dispatch(make_call(RetryAllowance(1)))
+    outcome = await make_dispatcher(run).dispatch(retried_call(RetryAllowance(1)))
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
 
 
@@ -147,13 +138,13 @@
     dispatcher = make_dispatcher(run)
     dispatcher._decisions = decisions
     with trio.move_on_after(1):
-        await dispatcher.dispatch_recorded(make_call(RetryAllowance(1)))
+        await dispatcher.dispatch_recorded(retried_call(RetryAllowance(1)))
     ((_, _, verdict, _),) = decisions.outcomes
     assert verdict is Verdict.MAY_HAVE_RUN
 
 
 async def test_a_deadline_that_has_come_stops_retries(autojump_clock):
-    call = make_call(RetryAllowance(5), deadline_s=0.001)
+    call = retried_call(RetryAllowance(5), deadline_s=0.001)
     assert await attempts_of(call, FULL) == 1
 
 
@@ -161,7 +152,7 @@
     async def chunks():
         yield b"x"
 
-    call = make_call(RetryAllowance(5), body=streamed_body(chunks(), None))
+    call = retried_call(RetryAllowance(5), body=streamed_body(chunks(), None))
     assert await attempts_of(call, FULL) == 1
 
 
@@ -175,7 +166,7 @@
 
     dispatcher = make_dispatcher(run)
     for _ in range(1000):
-        await dispatcher.dispatch(make_call(RetryAllowance(3)))
+        await dispatcher.dispatch(retried_call(RetryAllowance(3)))
     assert count <= 1000 + 10
 
 
@@ -205,10 +196,10 @@
         first_sends += fan_out
         async with trio.open_nursery() as nursery:
             for _ in range(fan_out):
-                nursery.start_soon(dispatcher.dispatch, make_call(holding))
+                nursery.start_soon(dispatcher.dispatch, retried_call(holding))
 
     root = RetryAllowance(allowance)
     dispatcher = make_dispatcher(run_at(1), budgets_unlimited=True)
-    await dispatcher.dispatch(make_call(root))
+    await dispatcher.dispatch(retried_call(root))
     assert executions <= 1 + first_sends + allowance
     assert root.remaining >= 0
--- a/tests/observability/test_sink.py
+++ b/tests/observability/test_sink.py
@@ -7,7 +7,7 @@
 import trio
 from loguru import logger
 
-from mangospoke.calls import Call, RetryAllowance
+from mangospoke.calls import RetryAllowance
 from mangospoke.conf.declarations import Importance
 from mangospoke.conf.settings import LogFormat, Logging
 from mangospoke.http.bodies import whole_body
@@ -24,6 +24,7 @@
     Refused,
     Unanswered,
 )
+from tests.harness.calls import make_call
 
 
 class Clock:
@@ -168,32 +169,27 @@
         return [msgspec.json.decode(line) for line in written.splitlines()]
 
 
-def make_call(**changes):
+def booking(**changes):
     fields = {
         "request_id": "9c41",
-        "account_id": "acme",
         "key_id": "k",
         "service": "bookings",
         "route": "book",
         "method": b"POST",
         "target": b"/book",
-        "headers": [],
-        "body": whole_body(b""),
-        "deadline": trio.current_time() + 5,
         "importance": Importance.HIGH,
         "idempotent": False,
-        "idempotency_key": None,
         "retries": RetryAllowance(1),
         "version": 12,
         "entered_at": trio.current_time(),
         "target_s": 1.5,
     }
-    return Call(**{**fields, **changes})
+    return make_call(**(fields | changes))
 
 
 async def test_a_lost_request_is_told_with_what_was_believed(pipe, autojump_clock):
     fixture = Fixture(pipe)
-    call = make_call()
+    call = booking()
     await trio.sleep(0.5)
     fixture.decisions.ended(
         call, Unanswered(FailureReason.PEER_SILENT, "the peer doesn't answer")
@@ -247,7 +243,7 @@
 ):
     fixture = Fixture(pipe)
     for _ in range(300):
-        fixture.decisions.ended(make_call(), outcome)
+        fixture.decisions.ended(booking(), outcome)
     lines = [line for line in fixture.lines() if line["event"] == "ended"]
     assert len(lines) == LINES_PER_S[retention]
 
@@ -255,10 +251,10 @@
 async def test_a_late_answer_is_kept_before_a_timely_one(pipe, autojump_clock):
     fixture = Fixture(pipe)
     answered = Answered(200, [], whole_body(b""))
-    call = make_call()
+    call = booking()
     await trio.sleep(2)
     for _ in range(LINES_PER_S[Retention.ROUTINE] + 10):
-        fixture.decisions.ended(make_call(), answered)
+        fixture.decisions.ended(booking(), answered)
     fixture.decisions.ended(call, answered)
     late = [line for line in fixture.lines() if line.get("elapsed_ms", 0) > 1500]
     assert len(late) == 1
@@ -280,7 +276,7 @@
 
 async def test_text_lines_are_for_people(pipe, autojump_clock):
     fixture = Fixture(pipe, text=True)
-    fixture.decisions.ended(make_call(), Refused(RefusalReason.QUEUE_FULL, "full"))
+    fixture.decisions.ended(booking(), Refused(RefusalReason.QUEUE_FULL, "full"))
     fixture.log.sink.flush()
     (line,) = pipe.read().splitlines()
     assert b"event=ended" in line
@@ -293,10 +289,10 @@
     load = Load(1, 0, 4, 0.0)
     for _ in range(LINES_PER_S[Retention.ROUTINE] + 10):
         now = trio.current_time()
-        fixture.decisions.guarded(make_call(), answered, now, "i", lambda: load)
+        fixture.decisions.guarded(booking(), answered, now, "i", lambda: load)
     arrived_at = trio.current_time()
     await trio.sleep(0.2)
-    slow = make_call(request_id="slow", admitted_at=trio.current_time())
+    slow = booking(request_id="slow", admitted_at=trio.current_time())
     fixture.decisions.guarded(slow, answered, arrived_at, "i", lambda: load)
     lines = [line for line in fixture.lines() if line.get("request_id") == "slow"]
     assert [line["waited_ms"] for line in lines] == [200.0]
--- a/tests/peers/test_pool.py
+++ b/tests/peers/test_pool.py
@@ -5,8 +5,7 @@
 import trio
 import trio.testing
 
-from mangospoke.calls import Call, RetryAllowance
-from mangospoke.conf.declarations import Importance
+from mangospoke.calls import RetryAllowance
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import whole_body
@@ -24,27 +23,13 @@
     Refused,
     Unanswered,
 )
+from tests.harness.calls import make_call
 
 LOAD = Load(1, 0, 8, 0.0)
 
 
-def make_call(deadline_s=5.0, retries=4):
-    return Call(
-        request_id="r",
-        account_id="acme",
-        key_id=None,
-        service="batches",
-        route="read",
-        method=b"GET",
-        target=b"/batches/1",
-        headers=[],
-        body=whole_body(b""),
-        deadline=trio.current_time() + deadline_s,
-        importance=Importance.NORMAL,
-        idempotent=True,
-        idempotency_key=None,
-        retries=RetryAllowance(retries),
-    )
+def pool_call(deadline_s=5.0, retries=4):
+    return make_call(deadline_s, retries=RetryAllowance(retries))
 
 
 class Peer:
@@ -93,7 +78,7 @@
 async def test_a_connection_serves_one_call_after_another():
     async with connected(answer) as (pool, peer, address, loads):
         for _ in range(3):
-            outcome = await pool.execute(address, make_call(), 0)
+            outcome = await pool.execute(address, pool_call(), 0)
             assert outcome.body.content == b"done"
         assert peer.accepted == 1
         assert loads == {address: LOAD}
@@ -101,9 +86,9 @@
 
 async def test_a_connection_that_the_peer_closed_is_not_used_again():
     async with connected(answer) as (pool, peer, address, _):
-        await pool.execute(address, make_call(), 0)
+        await pool.execute(address, pool_call(), 0)
         await peer.streams[0].aclose()
-        outcome = await pool.execute(address, make_call(), 0)
+        outcome = await pool.execute(address, pool_call(), 0)
         assert isinstance(outcome, Answered)
         assert peer.accepted == 2
 
@@ -115,7 +100,7 @@
         return await answer(call)
 
     async with connected(spend_one) as (pool, _, address, _):
-        call = make_call()
+        call = pool_call()
         await pool.execute(address, call, call.retries.take(3))
         assert call.retries.remaining == 3
 
@@ -125,7 +110,7 @@
         return Refused(RefusalReason.QUEUE_FULL, "full", 7)
 
     async with connected(refuse) as (pool, _, address, _):
-        call = make_call()
+        call = pool_call()
         outcome = await pool.execute(address, call, 0)
         assert outcome == Refused(RefusalReason.QUEUE_FULL, "full", 7)
         assert not call.may_have_run
@@ -136,10 +121,10 @@
         await trio.sleep_forever()
 
     async with connected(never) as (pool, _, address, _):
-        outcome = await pool.execute(address, make_call(0.2), 0)
+        outcome = await pool.execute(address, pool_call(0.2), 0)
         assert outcome.reason is FailureReason.PEER_SILENT
     async with connected(answer) as (pool, _, _, _):
-        outcome = await pool.execute("127.0.0.1:1", make_call(), 0)
+        outcome = await pool.execute("127.0.0.1:1", pool_call(), 0)
         assert outcome.reason is RefusalReason.PEER_UNREACHABLE
 
 
@@ -154,7 +139,7 @@
 
     async with connected(wait) as (pool, _, address, _):
         with trio.move_on_after(0.2):
-            await pool.execute(address, make_call(), 0)
+            await pool.execute(address, pool_call(), 0)
         with trio.fail_after(10):
             await cancelled.wait()
 
@@ -168,14 +153,14 @@
             await trio.sleep_forever()
 
         peer.execute = close
-        outcome = await pool.execute(address, make_call(), 0)
+        outcome = await pool.execute(address, pool_call(), 0)
         assert isinstance(outcome, Unanswered)
         assert outcome.reason is FailureReason.PEER_CONNECTION_LOST
 
 
 async def test_idle_connections_are_closed():
     async with connected(answer) as (pool, peer, address, _):
-        await pool.execute(address, make_call(), 0)
+        await pool.execute(address, pool_call(), 0)
         pool._close_idle_before(trio.current_time() + 1)
-        await pool.execute(address, make_call(), 0)
+        await pool.execute(address, pool_call(), 0)
         assert peer.accepted == 2
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -12,13 +12,8 @@
 import msgspec
 import trio
 
-from mangospoke.conf.settings import Limits
-from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import whole_body
 from mangospoke.http.messages import HttpAnswer, HttpRequest
-from mangospoke.http.server import ConnectionContext, serve_connection
-from mangospoke.idle import WorkCounter
-from mangospoke.streams import Stream
 
 PAGE_ITEMS = 3
 """Small, so that tests read several pages."""
@@ -157,21 +152,6 @@
         topic.last_by_producer[producer] = (epoch, sequence, answer)
         return _answer(200, answer)
 
-    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Serves at a free port, which is told to the starter."""
-        context = ConnectionContext(Limits(), WorkCounter(), HangUpMonitor())
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        ip, port = listeners[0].socket.getsockname()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(context.hang_ups.run)
-            task_status.started(f"{ip}:{port}")
-            await trio.serve_listeners(
-                lambda stream: serve_connection(
-                    Stream(stream.socket), self.handle, context
-                ),
-                listeners,
-            )
-
 
 def _answer(status: int, content: bytes) -> HttpAnswer:
     return HttpAnswer(status, [], whole_body(content))
--- a/tests/platform/mesh.py
+++ b/tests/platform/mesh.py
@@ -11,14 +11,10 @@
 from mangospoke.bench.network import reserve_network
 from mangospoke.bench.processes import ManagedProcess
 from mangospoke.bench.waiting import wait_until
-from mangospoke.conf.settings import Limits
-from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import whole_body
 from mangospoke.http.client import open_connection
 from mangospoke.http.messages import HttpAnswer
-from mangospoke.http.server import ConnectionContext, serve_connection
-from mangospoke.idle import WorkCounter
-from mangospoke.streams import Stream
+from tests.harness.serving import serve_http
 from tests.platform.fake_store import FakeStore
 
 HEAD_BYTES = 16_384
@@ -191,11 +187,11 @@
     # before the machine binds them.
     with reserve_network() as network:
         async with trio.open_nursery() as nursery:
-            address = await nursery.start(store.serve)
+            address = await nursery.start(serve_http, store.handle)
             store.put("keyed.op", "config", configuration(version, **settings))
             for number, service in enumerate(SERVICES):
                 upstream = Upstream(service)
-                upstream.address = await nursery.start(serve_upstream, upstream)
+                upstream.address = await nursery.start(serve_http, upstream.handle)
                 ip = network.host_ip(number)
                 machine = Machine(number, ip, upstream, address, directory)
                 mesh.machines_by_service[service] = machine
@@ -217,19 +213,3 @@
     """Whether a request that enters at the front is answered by the back."""
     answer = await mesh.front.ask("/inner/first", key=None, name="first")
     return answer.status == 200
-
-
-async def serve_upstream(upstream, task_status=trio.TASK_STATUS_IGNORED):
-    """Serves a stand-in upstream at a free port, which is told to the starter."""
-    context = ConnectionContext(Limits(), WorkCounter(), HangUpMonitor())
-    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    ip, port = listeners[0].socket.getsockname()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(context.hang_ups.run)
-        task_status.started(f"{ip}:{port}")
-        await trio.serve_listeners(
-            lambda stream: serve_connection(
-                Stream(stream.socket), upstream.handle, context
-            ),
-            listeners,
-        )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,10 +1,7 @@
 """The platform's header fields are translated, and nothing else passes."""
 
 import pytest
-import trio
 
-from mangospoke.calls import Call, RetryAllowance
-from mangospoke.conf.declarations import Importance
 from mangospoke.http.bodies import whole_body
 from mangospoke.http.messages import HttpAnswer, HttpRequest
 from mangospoke.platform.declarations import digest_key
@@ -17,6 +14,7 @@
     Unanswered,
     Verdict,
 )
+from tests.harness.calls import make_call
 
 PROMISES = {408, 421, 429, 503}
 """Statuses that say that a request has not run and never will."""
@@ -64,21 +62,13 @@
 
 
 def call(account_id="acme"):
-    return Call(
+    return make_call(
+        2,
         request_id="9c41",
         account_id=account_id,
-        key_id=None,
-        service="batches",
         route="r",
-        method=b"GET",
         target=b"/a",
         headers=[(b"host", b"h")],
-        body=whole_body(b""),
-        deadline=trio.current_time() + 2,
-        importance=Importance.NORMAL,
-        idempotent=True,
-        idempotency_key=None,
-        retries=RetryAllowance(0),
     )
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -13,6 +13,7 @@
 )
 from mangospoke.logservice.keyed import KeyedFollower, Writer
 from mangospoke.platform.store import StoreLog
+from tests.harness.serving import serve_http
 from tests.platform.fake_store import FakeStore, Trouble
 
 TOPIC = "keyed.things"
@@ -22,7 +23,7 @@
 async def store_and_log():
     store = FakeStore()
     async with trio.open_nursery() as nursery:
-        address = await nursery.start(store.serve)
+        address = await nursery.start(serve_http, store.handle)
         yield store, StoreLog(LogService(address=address, timeout_ms=200))
         nursery.cancel_scope.cancel()
 
