A heartbeat during a planned stop no longer ends the guard's drain

What callers saw: after a daemon's SIGTERM, other hosts whose directory still said that it serves (the store down or slow) went on sending it requests, and those were cut when the process ended: no answer at a host that stops itself, 502 elsewhere.

Cause: the upstream outlives its daemon and sends a heartbeat every 1.5 s. The registrar took the first one after the stop for an upstream that serves again, since the guard was draining, and attached it: `draining` went back to false and the time from which calls are refused to infinity. The host's record stayed at DRAINING, so only the guard was open again. The daemon without a platform refuses announcements while it stops; the hosted one didn't.

Evidence: with stop(), drain() and one more heartbeat the guard had `draining False, refuse_from inf`. Both cases of the test fail on the code before; all of tests/state/test_registrar.py passes after.

Why it works: while the daemon stops, no heartbeat attaches an upstream, so that the drain that the stop began is never taken back.

--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -151,6 +151,10 @@
         )
         if is_known and not self._guard.draining:
             return
+        if self.stopping:
+            # Attaching would end the guard's drain. An upstream that outlives its
+            # daemon sends heartbeats during the stop too.
+            return
         logger.bind(
             event="upstream_started",
             instance=heartbeat.instance,
--- a/tests/state/test_registrar.py
+++ b/tests/state/test_registrar.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 import trio.testing
+from harness.calls import make_call
 
 from mangospoke.conf.settings import Fleet as FleetSettings
 from mangospoke.conf.settings import Host, Limits, Listen, LogService, Settings
@@ -21,6 +22,7 @@
     HostDirectory,
     HostRegistrar,
 )
+from mangospoke.verdicts import RefusalReason
 
 ADDRESS = "127.0.0.1:1"
 SETTINGS = Settings(
@@ -209,6 +211,23 @@
     assert log.written_states()[-1] is UpstreamState.DRAINING
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [{"sequence": 6}, {"instance": "i-2", "started_at_ms": 5_000}],
+    ids=["same-upstream", "new-upstream"],
+)
+async def test_a_heartbeat_during_a_stop_does_not_undo_the_drain(
+    running, guard, changes
+):
+    running.handle_heartbeat(HEARTBEAT)
+    running.stop()
+    guard.drain()
+    running.handle_heartbeat(heartbeat(**changes))
+    await trio.sleep(1)
+    outcome = await guard.execute(make_call(service="batches"))
+    assert outcome.reason is RefusalReason.DRAINING
+
+
 def host_record(host_id, incarnation, sequence, state=UpstreamState.SERVING):
     return UpstreamAnnounced(
         record_id="r",
