An error of one queued connection no longer ends the daemon

What callers would have seen: all requests in progress cut at once and the process gone. It has not been seen on a deployment; it was found by reading.

Cause: `accept` also reports errors of the connection that it was to hand over (EPROTO, EHOSTUNREACH, EPERM and others, see accept(2)). The acceptor raised all but four; it isn't supervised, so that the error ended the nursery in which everything runs.

Evidence: the test fails on the code before for EPROTO, EPERM and EHOSTUNREACH, with the exception group of the whole nursery; it passes after.

Why it works: only errors that say that the listening socket is unusable are raised. The others are logged and accepting goes on after 0.1 s, as it did for a lack of descriptors.

--- a/mangospoke/http/listener.py
+++ b/mangospoke/http/listener.py
@@ -15,8 +15,14 @@
 
 _BACKLOG = 1_024
 
-_RESOURCE_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-"""Errors of `accept` that go away when other connections are closed."""
+_LISTENER_ERRNOS = frozenset(
+    {errno.EBADF, errno.EINVAL, errno.ENOTSOCK, errno.EOPNOTSUPP, errno.EFAULT}
+)
+"""Errors of `accept` that mean that the listening socket itself is unusable.
+
+All others end: a lack of descriptors or memory when other connections are closed, and
+an error of one queued connection, which `accept` also reports, with that connection.
+"""
 
 _ACCEPT_RETRY_DELAY_S = 0.1
 
@@ -75,7 +81,7 @@
             try:
                 stream = _accept_one(listen_socket)
             except OSError as error:
-                if error.errno not in _RESOURCE_ERRNOS:
+                if error.errno in _LISTENER_ERRNOS:
                     raise
                 logger.bind(event="accept_failed").warning(
                     "accepting a connection failed: {}; retrying", error
