A slow handshake no longer takes time from every later call to that peer

What callers saw: a 504 of our own up to half a second before the caller's budget or the route's timeout, for calls over one particular connection.

Cause: a call's time at the peer is reduced by the network delay in both directions. That is measured once, in the handshake, and includes the time for which a busy peer lets the handshake wait (up to the 0.5 s allowed for it). The reduction then held for the life of the connection.

Evidence: with a handshake that waits 0.4 s, calls with 1,200 ms had 799 ms left at the peer, 0.2 and 0.4 s after the handshake as well. The test fails on the code before with 0.799 and passes after.

Why it works: the reduction is at most 0.1 s, whatever the handshake measured.

--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -51,6 +51,14 @@
 _DEADLINE_GRACE_S = 0.05
 """Time to wait beyond the deadline for the peer's own verdict."""
 
+_MAX_DEADLINE_REDUCTION_S = 0.1
+"""Upper bound on the time by which a call ends earlier at the peer than here.
+
+It stands for the network delay in both directions. That is measured once, in the
+handshake, and includes the time for which a busy peer lets its handshake wait: a
+connection that was opened in such a moment must not shorten all its later calls.
+"""
+
 LoadObserver = Callable[[str, Load], None]
 """Called with a peer's address and its load."""
 
@@ -265,7 +273,8 @@
 
 def _request_head(call: Call, retries: int, one_way_delay_s: float) -> RequestHead:
     # The response takes another one-way delay.
-    remaining_s = call.deadline - trio.current_time() - 2 * one_way_delay_s
+    reduction_s = min(2 * one_way_delay_s, _MAX_DEADLINE_REDUCTION_S)
+    remaining_s = call.deadline - trio.current_time() - reduction_s
     return RequestHead(
         request_id=call.request_id,
         account_id=call.account_id,
--- a/tests/peers/test_pool.py
+++ b/tests/peers/test_pool.py
@@ -11,8 +11,9 @@
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
+from mangospoke.peers import server as peer_server
 from mangospoke.peers.client import PeerConnectionPool
-from mangospoke.peers.handshake import Identity
+from mangospoke.peers.handshake import Identity, accept_handshake
 from mangospoke.peers.messages import Load
 from mangospoke.peers.server import serve_peer
 from mangospoke.streams import Stream
@@ -96,6 +97,34 @@
         assert peer.accepted_count == 2
 
 
+async def test_a_slow_handshake_does_not_shorten_later_calls(monkeypatch):
+    async def accept_slowly(frames, identity):
+        receive = frames.receive
+
+        async def receive_slowly():
+            frame = await receive()
+            await trio.sleep(0.4)
+            return frame
+
+        monkeypatch.setattr(frames, "receive", receive_slowly)
+        host_id = await accept_handshake(frames, identity)
+        monkeypatch.setattr(frames, "receive", receive)
+        return host_id
+
+    remaining_s = []
+
+    async def record_remaining_time(call):
+        remaining_s.append(call.deadline - trio.current_time())
+        return await answer(call)
+
+    monkeypatch.setattr(peer_server, "accept_handshake", accept_slowly)
+    async with connected_pool(record_remaining_time) as (pool, peer, address, _):
+        for _ in range(2):
+            await pool.execute(address, make_pool_call(1.2), 0)
+        assert peer.accepted_count == 1
+    assert remaining_s[1] > 1.0
+
+
 async def test_only_unused_retries_are_returned():
     async def use_one_retry(call):
         call.retries.take(1)
