Answer every accepted request in a shutdown, with one procedure for both daemons

Callers saw: requests that ended without a response when the daemon beside them was stopped under a load that doesn't cease. Cause: a hosted daemon accepted requests until its process ended. With steady arrivals it was never idle, and 1.2 s before the end of the grace time everything in progress was cancelled: requests at their upstream, requests in a queue, requests that had just come. Change: a shutdown has phases. It serves while callers and peers still notice; then new requests are refused as not run, so that the accepted ones end; what is still in progress near the end of the grace time is answered by the daemon itself, 'not run' if it was never sent and 'may have run' otherwise; only then are connections cancelled. Calls of peers are interrupted the same way. Both kinds of daemon had a stop of their own; stopping.py now serves both, and the phase replaces three flags of the ingresses. Evidence: tests/daemon/test_stopping.py.

--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -34,6 +34,7 @@
 from mangospoke.rates.static import StaticShares
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
+from mangospoke.shutdown import Shutdown
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.subsystem import StateSubsystem, assemble_state
 
@@ -107,19 +108,26 @@
     at_most_once = AtMostOnceExecutor(
         host_incarnation, claim_groups, control, guard.execute
     )
+    shutdown = Shutdown()
     dispatcher = Dispatcher(
-        settings.host.id, at_most_once.execute, peers, balancer, ejector, decisions
+        settings.host.id,
+        at_most_once.execute,
+        peers,
+        balancer,
+        ejector,
+        decisions,
+        shutdown=shutdown,
     )
     key_router = IdempotencyKeyRouter(fleet, claim_groups, dispatcher.send)
     dispatcher.execute_by_key = key_router.execute
     at_most_once.run_claimed = dispatcher.execute_with_retries
     at_most_once.ask_holder = key_router.ask_holder
     local = LocalRequestHandler(
-        fleet, domain, guard, state.announcer, dispatcher, decisions
+        fleet, domain, guard, state.announcer, dispatcher, decisions, shutdown
     )
     rates = open_rates(settings, incarnation, fleet, control, log_client)
     quota = _choose_quota(settings, fleet, rates)
-    public = PublicRequestHandler(fleet, domain, quota, dispatcher, decisions)
+    public = PublicRequestHandler(fleet, domain, quota, dispatcher, decisions, shutdown)
     daemon = Daemon(
         settings=settings,
         identity=identity,
@@ -145,7 +153,9 @@
             quarantine.clear,
             log.sink.dropped_lines,
         ),
-        connections=ConnectionContext(settings.limits, WorkCounter(), HangUpMonitor()),
+        connections=ConnectionContext(
+            settings.limits, WorkCounter(), HangUpMonitor(), shutdown
+        ),
         rates=rates,
     )
     return daemon
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -47,6 +47,7 @@
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
 from mangospoke.routing.retries import FleetRetryBudget
+from mangospoke.shutdown import Shutdown
 from mangospoke.state.configuration_source import ConfigurationSource
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness, read_boot_clock
@@ -155,6 +156,7 @@
             settings.host.id, self.fleet, self.control, self.guard.accepts_connections
         )
         self.guard.quarantine = self.quarantine
+        shutdown = Shutdown()
         retries = guarantees.retries
         dispatcher = Dispatcher(
             settings.host.id,
@@ -169,6 +171,7 @@
                 self._count_hosts,
             ),
             _MAX_REROUTES,
+            shutdown,
         )
         self.rates = BorrowedRates(
             settings.host.id, self.fleet, self.control, self._make_shares()
@@ -183,6 +186,7 @@
             dispatcher,
             balancer.downstream_delay_s,
             self.decisions,
+            shutdown,
         )
         callees = self.request_handler.callees
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
@@ -192,7 +196,7 @@
             self.registrar.handle_heartbeat
         )
         self.connections = ConnectionContext(
-            settings.limits, WorkCounter(), HangUpMonitor()
+            settings.limits, WorkCounter(), HangUpMonitor(), shutdown
         )
         self.operations = OperationsRequestHandler(
             lambda: read_hosted_status(self),
--- a/mangospoke/daemon/hosted_run.py
+++ b/mangospoke/daemon/hosted_run.py
@@ -1,13 +1,18 @@
 """Main loop of a hosted daemon: listeners, graceful shutdown and reload."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 from loguru import logger
 
 from mangospoke.daemon.hosted import HostedDaemon, PlatformAdapter
 from mangospoke.daemon.hosting import HostedSettings
+from mangospoke.daemon.stopping import (
+    ShutdownSchedule,
+    ShutdownSteps,
+    shut_down_on_signal,
+)
 from mangospoke.daemon.supervision import supervise, tune_garbage_collector
 from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
 from mangospoke.http.server import RequestHandler, make_connection_handler
@@ -21,10 +26,20 @@
 _NOT_READY_NOTICE_S = 2.2
 """Time in which the platform detects that the host is no longer ready."""
 
-_SHUTDOWN_MARGIN_S = 1.2
-"""Part of `stop_s` that is reserved for the exit of the process."""
+_MAX_NOTICE_RATIO = 0.4
+"""Maximum of the notice period as a part of `stop_s`."""
 
-_LATE_REQUESTS_WAIT_S = 0.2
+_REFUSE_RATIO = 0.47
+"""Part of `stop_s` after which new requests are refused.
+
+Requests that are accepted later could not be given enough time to complete.
+"""
+
+_INTERRUPT_RATIO = 0.86
+"""Part of `stop_s` after which calls in progress are answered by the daemon itself."""
+
+_EXIT_RATIO = 0.94
+"""Part of `stop_s` after which the process exits in any case."""
 
 
 async def run_hosted(
@@ -52,7 +67,14 @@
             acceptors = await _open_acceptors(daemon)
             for acceptor in acceptors:
                 nursery.start_soon(acceptor.serve)
-            nursery.start_soon(_shut_down_on_signal, daemon, nursery.cancel_scope)
+            nursery.start_soon(
+                shut_down_on_signal,
+                lambda: _read_schedule(daemon),
+                _make_steps(daemon, acceptors),
+                daemon.connections.shutdown,
+                daemon.connections.work,
+                nursery.cancel_scope,
+            )
             nursery.start_soon(_reload_on_signal, daemon, platform.read_hosted_settings)
             logger.bind(event="started", service=hosted_settings.upstream_service).info(
                 "serving {}", hosted_settings.callers_address
@@ -92,17 +114,22 @@
     ]
 
 
-async def _shut_down_on_signal(daemon: HostedDaemon, scope: trio.CancelScope) -> None:
-    """Shuts down gracefully on SIGTERM or SIGINT, then cancels the daemon's scope."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            break
-        logger.bind(event="stopping").info("shutting down gracefully")
-        with trio.move_on_after(
-            daemon.hosted_settings.guarantees.stop_s - _SHUTDOWN_MARGIN_S
-        ):
-            await _drain(daemon)
-    scope.cancel()
+def _read_schedule(daemon: HostedDaemon) -> ShutdownSchedule:
+    stop_s = daemon.hosted_settings.guarantees.stop_s
+    return ShutdownSchedule(
+        notice_s=min(_NOT_READY_NOTICE_S, stop_s * _MAX_NOTICE_RATIO),
+        refuse_s=stop_s * _REFUSE_RATIO,
+        interrupt_s=stop_s * _INTERRUPT_RATIO,
+        exit_s=stop_s * _EXIT_RATIO,
+    )
+
+
+def _make_steps(daemon: HostedDaemon, acceptors: Sequence[Acceptor]) -> ShutdownSteps:
+    def announce() -> None:
+        daemon.registrar.stop()
+        daemon.guard.drain()
+
+    return ShutdownSteps(announce, acceptors)
 
 
 async def _reload_on_signal(
@@ -117,16 +144,3 @@
                 logger.bind(event="settings_unreadable").error(
                     "cannot read the settings; keeping the active ones: {}", error
                 )
-
-
-async def _drain(daemon: HostedDaemon) -> None:
-    """Serves until callers and peers use other hosts, then completes all requests."""
-    daemon.registrar.stop()
-    daemon.guard.drain()
-    daemon.request_handler.closes_connections = True
-    await trio.sleep(_NOT_READY_NOTICE_S)
-    work = daemon.connections.work
-    await work.wait_idle()
-    # Requests sent just before the last caller switched may still be in transit.
-    await trio.sleep(_LATE_REQUESTS_WAIT_S)
-    await work.wait_idle()
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -1,13 +1,20 @@
 """Main loop of a daemon: supervised services and listeners."""
 
+from collections.abc import Sequence
+
 import trio
 from loguru import logger
 
 from mangospoke.conf.settings import Settings
 from mangospoke.control.transport import limit_nng_threads
 from mangospoke.daemon.assembly import Daemon, assemble_daemon
-from mangospoke.daemon.stopping import Acceptors, shut_down_on_signal
+from mangospoke.daemon.stopping import (
+    ShutdownSchedule,
+    ShutdownSteps,
+    shut_down_on_signal,
+)
 from mangospoke.daemon.supervision import supervise, tune_garbage_collector
+from mangospoke.guard.guard import DRAIN_NOTICE_S
 from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
 from mangospoke.http.server import RequestHandler, make_connection_handler
 from mangospoke.observability.logs import EventLog, open_logs
@@ -20,6 +27,15 @@
 _MAX_LOCAL_CONNECTIONS = 4_000
 _MAX_OPERATIONS_CONNECTIONS = 64
 
+_SHUTDOWN_SCHEDULE = ShutdownSchedule(
+    notice_s=DRAIN_NOTICE_S,
+    refuse_s=DRAIN_NOTICE_S,
+    interrupt_s=55.0,
+    exit_s=60.0,
+)
+
+_FLUSH_TIMEOUT_S = 2.0
+
 
 async def run_daemon(settings: Settings) -> None:
     """Runs a daemon until SIGTERM or SIGINT shuts it down.
@@ -53,7 +69,12 @@
             nursery.start_soon(supervise, "incidents", daemon.incidents.run)
             acceptors = await _start_listeners(daemon, nursery)
             nursery.start_soon(
-                shut_down_on_signal, daemon, acceptors, nursery.cancel_scope
+                shut_down_on_signal,
+                lambda: _SHUTDOWN_SCHEDULE,
+                _make_steps(daemon, acceptors),
+                daemon.connections.shutdown,
+                daemon.connections.work,
+                nursery.cancel_scope,
             )
             logger.bind(event="started").info("serving {}", settings.listen.public)
     finally:
@@ -62,8 +83,13 @@
     logger.bind(event="stopped").info("stopped")
 
 
-async def _start_listeners(daemon: Daemon, nursery: trio.Nursery) -> Acceptors:
-    """Binds all addresses before serving any, so that an invalid one is fatal."""
+async def _start_listeners(
+    daemon: Daemon, nursery: trio.Nursery
+) -> tuple[Acceptor, Acceptor]:
+    """Starts all listeners; returns those of callers and of peers.
+
+    All addresses are bound before any is served, so that an invalid one is fatal.
+    """
     listen = daemon.settings.listen
     limits = daemon.settings.limits
     public = await open_listener(listen.public)
@@ -84,31 +110,39 @@
     def http_handler(handler: RequestHandler) -> ConnectionHandler:
         return make_connection_handler(handler, daemon.connections)
 
-    acceptors = Acceptors(
-        public=Acceptor(
-            public, http_handler(daemon.public.handle), limits.public_connections
-        ),
-        local=Acceptor(
-            local, http_handler(daemon.local.handle), _MAX_LOCAL_CONNECTIONS
-        ),
-        peer=Acceptor(peer, serve_peer_connection, _MAX_PEER_CONNECTIONS),
-        operations=Acceptor(
-            operations,
-            http_handler(daemon.operations.handle),
-            _MAX_OPERATIONS_CONNECTIONS,
-        ),
+    public_acceptor = Acceptor(
+        public, http_handler(daemon.public.handle), limits.public_connections
+    )
+    peer_acceptor = Acceptor(peer, serve_peer_connection, _MAX_PEER_CONNECTIONS)
+    local_acceptor = Acceptor(
+        local, http_handler(daemon.local.handle), _MAX_LOCAL_CONNECTIONS
+    )
+    operations_acceptor = Acceptor(
+        operations, http_handler(daemon.operations.handle), _MAX_OPERATIONS_CONNECTIONS
     )
 
     async def serve_public() -> None:
         # Delays public requests until a daemon that just started is configured.
         with trio.move_on_after(_MAX_CONFIGURATION_WAIT_S):
             await daemon.fleet.wait_configured()
-        await acceptors.public.serve()
+        await public_acceptor.serve()
 
     nursery.start_soon(serve_public)
-    for acceptor in (acceptors.local, acceptors.peer, acceptors.operations):
+    for acceptor in (local_acceptor, peer_acceptor, operations_acceptor):
         nursery.start_soon(acceptor.serve)
-    return acceptors
+    return public_acceptor, peer_acceptor
+
+
+def _make_steps(daemon: Daemon, acceptors: Sequence[Acceptor]) -> ShutdownSteps:
+    announcer = daemon.state.announcer
+
+    async def finish() -> None:
+        announcer.leave()
+        with trio.move_on_after(_FLUSH_TIMEOUT_S):
+            await announcer.flush()
+            await daemon.incidents.flush()
+
+    return ShutdownSteps(announcer.drain, acceptors, finish)
 
 
 async def _probe(daemon: Daemon) -> None:
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -45,7 +45,7 @@
     """Builds the status of a daemon."""
     return msgspec.structs.replace(
         _build_common_status(
-            daemon, daemon.public.draining, daemon.log_client.health()
+            daemon, daemon.connections.shutdown.is_draining, daemon.log_client.health()
         ),
         offsets=_read_offsets(daemon.fleet),
         shares=read_shares(daemon.rates, daemon.fleet.configuration),
--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -1,66 +1,131 @@
-"""Graceful shutdown: no new requests are accepted, and running ones complete."""
+"""Graceful shutdown: no new requests are accepted, and accepted ones are answered."""
 
 import signal
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 import trio
 from loguru import logger
 
-from mangospoke.daemon.assembly import Daemon
-from mangospoke.guard.guard import DRAIN_NOTICE_S
 from mangospoke.http.listener import Acceptor
+from mangospoke.idle import WorkCounter
+from mangospoke.shutdown import Shutdown
 
-_MAX_SHUTDOWN_S = 60.0
-_LATE_REQUESTS_WAIT_S = 0.3
-"""Wait for requests that were sent before the listening sockets were closed."""
+_LATE_REQUESTS_WAIT_S = 0.2
+"""Wait for requests that were sent just before their sender noticed the shutdown."""
 
-_FLUSH_TIMEOUT_S = 2.0
+
+@dataclass(frozen=True, slots=True)
+class ShutdownSchedule:
+    """Times of a shutdown, in seconds since its signal.
+
+    Attributes:
+        notice_s: Until then requests are served in any case, since callers and peers
+            have not noticed yet that this host is stopping.
+        refuse_s: From then on new requests are refused, also if they never cease.
+            Accepted ones have the time from here to `interrupt_s` to complete.
+        interrupt_s: When calls in progress are answered without their upstreams.
+        exit_s: When everything that is left is cancelled.
+    """
+
+    notice_s: float
+    refuse_s: float
+    interrupt_s: float
+    exit_s: float
 
 
 @dataclass(frozen=True, slots=True)
-class Acceptors:
-    """The daemon's TCP listeners."""
+class ShutdownSteps:
+    """What a kind of daemon does in a shutdown.
 
-    public: Acceptor
-    local: Acceptor
-    peer: Acceptor
-    operations: Acceptor
+    Attributes:
+        announce: Makes callers and peers choose other hosts.
+        acceptors: Listeners that are closed once all accepted requests are answered.
+        finish: Runs last, for example to write what is still unwritten.
+    """
 
-    def all(self) -> Iterable[Acceptor]:
-        """Returns all listeners."""
-        return (self.public, self.local, self.peer, self.operations)
+    announce: Callable[[], None]
+    acceptors: Sequence[Acceptor]
+    finish: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
 
 
 async def shut_down_on_signal(
-    daemon: Daemon, acceptors: Acceptors, scope: trio.CancelScope
+    read_schedule: Callable[[], ShutdownSchedule],
+    steps: ShutdownSteps,
+    shutdown: Shutdown,
+    work: WorkCounter,
+    scope: trio.CancelScope,
 ) -> None:
-    """Shuts down gracefully on SIGTERM or SIGINT, then cancels the daemon's scope."""
+    """Shuts down gracefully on SIGTERM or SIGINT, then cancels the daemon's scope.
+
+    Further signals change nothing.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             break
-        logger.bind(event="stopping").info("shutting down gracefully")
-        with trio.move_on_after(_MAX_SHUTDOWN_S):
-            await _drain(daemon, acceptors)
-    scope.cancel()
+        await shut_down(read_schedule(), steps, shutdown, work)
+        scope.cancel()
 
 
-async def _drain(daemon: Daemon, acceptors: Acceptors) -> None:
-    """Announces the drain, keeps serving for a notice period, completes all requests.
+async def shut_down(
+    schedule: ShutdownSchedule,
+    steps: ShutdownSteps,
+    shutdown: Shutdown,
+    work: WorkCounter,
+) -> None:
+    """Answers all accepted requests, in the time that the schedule allows."""
+    started_at = trio.current_time()
+    shutdown.start()
+    logger.bind(event="stopping", in_progress=work.count).info(
+        "shutting down gracefully"
+    )
+    steps.announce()
+    with trio.move_on_at(started_at + schedule.exit_s):
+        with trio.move_on_at(started_at + schedule.refuse_s):
+            await _serve_notice_period(schedule.notice_s, work)
+        shutdown.refuse_requests()
+        _log_phase(shutdown, work)
+        with trio.move_on_at(started_at + schedule.interrupt_s) as completing:
+            await _complete_requests(steps.acceptors, work)
+        if completing.cancelled_caught:
+            interrupted = shutdown.interrupt_calls()
+            _log_phase(shutdown, work, interrupted)
+            await _complete_requests(steps.acceptors, work)
+        await steps.finish()
+    if work.count:
+        logger.bind(event="stop_incomplete", in_progress=work.count).error(
+            "{} requests are cancelled without a response", work.count
+        )
+
+
+async def _serve_notice_period(notice_s: float, work: WorkCounter) -> None:
+    await trio.sleep(notice_s)
+    await _wait_idle(work)
+
+
+async def _complete_requests(acceptors: Sequence[Acceptor], work: WorkCounter) -> None:
+    """Waits until all requests are answered, and closes the listeners.
 
     The listening sockets are closed before the connections, so that a caller either
-    fails to connect, and knows that its request has not run, or gets its response.
+    fails to connect, and knows that its request has not run, or gets a response.
     """
-    daemon.local.stopping = True
-    daemon.public.drain()
-    daemon.state.announcer.drain()
-    await trio.sleep(DRAIN_NOTICE_S)
-    await daemon.connections.work.wait_idle()
-    acceptors.public.stop_accepting()
-    acceptors.peer.stop_accepting()
+    await _wait_idle(work)
+    for acceptor in acceptors:
+        acceptor.stop_accepting()
+    await _wait_idle(work)
+
+
+async def _wait_idle(work: WorkCounter) -> None:
+    await work.wait_idle()
     await trio.sleep(_LATE_REQUESTS_WAIT_S)
-    await daemon.connections.work.wait_idle()
-    daemon.state.announcer.leave()
-    with trio.move_on_after(_FLUSH_TIMEOUT_S):
-        await daemon.state.announcer.flush()
-        await daemon.incidents.flush()
+    await work.wait_idle()
+
+
+def _log_phase(shutdown: Shutdown, work: WorkCounter, interrupted: int = 0) -> None:
+    logger.bind(
+        event="stop_phase",
+        phase=shutdown.phase.value,
+        elapsed_ms=round(shutdown.elapsed_s() * 1000),
+        in_progress=work.count,
+        interrupted=interrupted,
+    ).info("the shutdown is {}", shutdown.phase.value)
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -1,7 +1,7 @@
 """Server side of HTTP/1.1: serves the requests of each accepted connection."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import h11
 import trio
@@ -21,6 +21,7 @@
 )
 from mangospoke.http.writing import write_error_response, write_response
 from mangospoke.idle import WorkCounter
+from mangospoke.shutdown import Shutdown
 from mangospoke.streams import Stream
 from mangospoke.verdicts import Verdict
 
@@ -49,11 +50,13 @@
         limits: Size limits and timeouts of requests.
         work: Counts the requests in progress, so that a planned stop waits for them.
         hang_ups: Cancels the requests of callers that closed their connection.
+        shutdown: Interrupts the requests of peers at the end of a shutdown.
     """
 
     limits: Limits
     work: WorkCounter
     hang_ups: HangUpMonitor
+    shutdown: Shutdown = field(default_factory=Shutdown)
 
 
 def make_connection_handler(
--- a/mangospoke/ingress/dispatch.py
+++ b/mangospoke/ingress/dispatch.py
@@ -14,6 +14,7 @@
 from mangospoke.routing.balancer import Balancer, UpstreamChoice
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.retries import RetryBudget, SuccessRatioRetryBudget
+from mangospoke.shutdown import Shutdown
 from mangospoke.verdicts import (
     RULES_BY_REFUSAL,
     Answered,
@@ -54,6 +55,7 @@
         decisions: DecisionLog,
         retry_budget: RetryBudget | None = None,
         max_reroutes: int = 0,
+        shutdown: Shutdown | None = None,
     ) -> None:
         """Initializes the dispatcher.
 
@@ -69,6 +71,8 @@
             max_reroutes: Times that a call may be sent to another upstream, in addition
                 to its retries, after a guard refused it without sending it to its
                 upstream.
+            shutdown: The shutdown that interrupts calls at its end; by default, none
+                does.
         """
         self._host_id = host_id
         self._execute_locally = execute_locally
@@ -77,13 +81,14 @@
         self._ejector = ejector
         self._retry_budget: RetryBudget = retry_budget or SuccessRatioRetryBudget()
         self._max_reroutes = max_reroutes
+        self._shutdown = shutdown or Shutdown()
         self.execute_by_key: CallExecutor = self.execute_with_retries
         self._decisions = decisions
 
     async def dispatch_and_record(self, call: Call) -> Outcome:
         """Dispatches a call that entered the fleet here, and records its outcome."""
         try:
-            outcome = await self.dispatch(call)
+            outcome = await self._shutdown.execute(call, self.dispatch)
         except trio.Cancelled:
             self._decisions.record_cancellation(call)
             raise
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -25,6 +25,7 @@
 from mangospoke.ingress.splitting import TrafficSplitter
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.rates.site_limits import Quota
+from mangospoke.shutdown import Shutdown
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.verdicts import Outcome, RefusalReason, Refused
@@ -36,8 +37,6 @@
     """Handles requests that enter the fleet at this host.
 
     Attributes:
-        closes_connections: Whether the connection is closed after each response, so
-            that callers connect to another host.
         callees: The services that this host's upstream calls.
     """
 
@@ -52,8 +51,8 @@
         dispatcher: Dispatcher,
         read_downstream_delay_s: Callable[[ServiceName], float],
         decisions: DecisionLog,
+        shutdown: Shutdown,
     ) -> None:
-        self.closes_connections = False
         self._fleet = fleet
         self._freshness = freshness
         self._dialect = dialect
@@ -63,6 +62,7 @@
         self._dispatcher = dispatcher
         self._read_downstream_delay_s = read_downstream_delay_s
         self._decisions = decisions
+        self._shutdown = shutdown
         self._splitter = TrafficSplitter()
         self._shedder = RootRequestShedder()
         self._random = random.Random()
@@ -73,12 +73,16 @@
         fields = self._dialect.read_fields(request)
         outcome = await self._process(request, fields, trio.current_time())
         response = self._dialect.build_response(outcome, fields.request_id)
-        response.closes_connection = self.closes_connections
+        # Closing the connection makes the caller connect to another host.
+        response.closes_connection = self._shutdown.is_draining
         return response
 
     async def _process(
         self, request: HttpRequest, fields: CallerFields, entered_at: float
     ) -> Outcome:
+        if self._shutdown.refuses_requests:
+            refused = Refused(RefusalReason.DRAINING, "this host is stopping")
+            return self._refuse(refused, fields, NO_ACCOUNT, _NO_SERVICE)
         configuration = self._fleet.configuration
         route = self._match_route(request, fields, configuration)
         if isinstance(route, Refused):
--- a/mangospoke/ingress/local.py
+++ b/mangospoke/ingress/local.py
@@ -18,6 +18,7 @@
 from mangospoke.ingress.calls import NO_ACCOUNT, make_sub_call, match_route
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.shutdown import Shutdown
 from mangospoke.state.announcer import Announcer
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import RefusalReason, Refused
@@ -28,9 +29,8 @@
 class LocalRequestHandler:
     """Handles the requests of this host's upstream.
 
-    Attributes:
-        stopping: Whether a planned stop has begun. Announcements are then refused, so
-            that an upstream that repeats its own isn't routed to again.
+    During a shutdown, announcements are refused, so that an upstream that repeats its
+    own isn't routed to again.
     """
 
     def __init__(
@@ -41,14 +41,15 @@
         announcer: Announcer,
         dispatcher: Dispatcher,
         decisions: DecisionLog,
+        shutdown: Shutdown,
     ) -> None:
-        self.stopping = False
         self._fleet = fleet
         self._domain = domain
         self._guard = guard
         self._announcer = announcer
         self._dispatcher = dispatcher
         self._decisions = decisions
+        self._shutdown = shutdown
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handles an announcement, or dispatches a sub-call of a running execution."""
@@ -64,7 +65,7 @@
         return await self._dispatch(request)
 
     def _announce(self, request: HttpRequest) -> HttpResponse:
-        if self.stopping:
+        if self._shutdown.is_draining:
             return _text_response(503, "the daemon is stopping")
         try:
             announcement = msgspec.json.decode(
--- a/mangospoke/ingress/public.py
+++ b/mangospoke/ingress/public.py
@@ -3,12 +3,7 @@
 Its callers are outside the fleet; their keys are the only credentials accepted.
 """
 
-import math
-
-import trio
-
 from mangospoke.conf.declarations import Access
-from mangospoke.guard.guard import DRAIN_NOTICE_S
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import ClientAccountId, FailureDomainId, ServiceName
 from mangospoke.ingress.answers import build_response
@@ -17,6 +12,7 @@
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.rates.site_limits import Quota
+from mangospoke.shutdown import Shutdown
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import RefusalReason, Refused
 
@@ -24,11 +20,7 @@
 
 
 class PublicRequestHandler:
-    """Handles callers' requests.
-
-    Attributes:
-        draining: Whether a planned stop has begun.
-    """
+    """Handles callers' requests."""
 
     def __init__(
         self,
@@ -37,30 +29,25 @@
         quota: Quota,
         dispatcher: Dispatcher,
         decisions: DecisionLog,
+        shutdown: Shutdown,
     ) -> None:
-        self.draining = False
-        self._notice_ends_at = math.inf
         self._fleet = fleet
         self._domain = domain
         self._quota = quota
         self._dispatcher = dispatcher
         self._decisions = decisions
-
-    def drain(self) -> None:
-        """Starts a planned stop: requests are refused after a notice period."""
-        self.draining = True
-        self._notice_ends_at = trio.current_time() + DRAIN_NOTICE_S
+        self._shutdown = shutdown
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Authenticates a request, enforces its account's rate and dispatches it."""
         response = await self._process(request)
         # Closing the connection makes the caller connect to another host.
-        response.closes_connection = self.draining
+        response.closes_connection = self._shutdown.is_draining
         return response
 
     async def _process(self, request: HttpRequest) -> HttpResponse:
         configuration = self._fleet.configuration
-        if trio.current_time() >= self._notice_ends_at:
+        if self._shutdown.refuses_requests:
             refused = Refused(RefusalReason.DRAINING, "this host is stopping")
             return self._refuse(refused, NO_ACCOUNT, _NO_SERVICE)
         route = match_route(request, configuration, internal=False)
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -7,7 +7,6 @@
 
 from mangospoke.calls import Call, KeyUse, RetryAllowance
 from mangospoke.conf.declarations import Importance
-from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import Body, IncompleteBodyError
 from mangospoke.http.server import ConnectionContext
 from mangospoke.peers.bodies import received_body, send_chunks
@@ -107,7 +106,7 @@
     """Serves a forwarded request; returns whether another may follow."""
     call = _make_call(frames, head)
     with context.work:
-        outcome = await _execute(frames, call, execute, context.hang_ups)
+        outcome = await _execute(frames, call, execute, context)
         if outcome is None:
             return False
         await _send_outcome(frames, call, outcome, read_load())
@@ -138,11 +137,11 @@
 
 
 async def _execute(
-    frames: FrameStream, call: Call, execute: Executor, hang_ups: HangUpMonitor
+    frames: FrameStream, call: Call, execute: Executor, context: ConnectionContext
 ) -> Outcome | None:
     """Executes a call; returns None if the peer closes the connection meanwhile."""
-    with hang_ups.watch(frames.stream):
-        return await execute(call)
+    with context.hang_ups.watch(frames.stream):
+        return await context.shutdown.execute(call, execute)
     return None
 
 
--- /dev/null
+++ b/mangospoke/shutdown.py
@@ -0,0 +1,102 @@
+"""State of a daemon's graceful shutdown, and the interruption of calls at its end."""
+
+import enum
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+
+import trio
+
+from mangospoke.calls import Call
+from mangospoke.verdicts import (
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    Refused,
+    Unanswered,
+)
+
+
+class ShutdownPhase(enum.Enum):
+    """How a daemon treats requests.
+
+    `SERVING`: it isn't stopping. `DRAINING`: new requests are served, but callers are
+    asked to connect to another host. `REFUSING`: new requests are refused, accepted
+    ones complete. `INTERRUPTING`: accepted requests that still wait for a response
+    are answered without it.
+    """
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    REFUSING = "refusing"
+    INTERRUPTING = "interrupting"
+
+
+class Shutdown:
+    """The phase of a daemon's shutdown, and the calls that its end interrupts.
+
+    Attributes:
+        phase: The current phase.
+    """
+
+    def __init__(self) -> None:
+        self.phase = ShutdownPhase.SERVING
+        self._started_at = 0.0
+        self._scopes: set[trio.CancelScope] = set()
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the shutdown has begun."""
+        return self.phase is not ShutdownPhase.SERVING
+
+    @property
+    def refuses_requests(self) -> bool:
+        """Whether new requests are refused."""
+        return self.phase in (ShutdownPhase.REFUSING, ShutdownPhase.INTERRUPTING)
+
+    def elapsed_s(self) -> float:
+        """Returns the seconds since the shutdown began; 0 while serving."""
+        return trio.current_time() - self._started_at if self.is_draining else 0.0
+
+    def start(self) -> None:
+        """Begins the shutdown: callers are asked to connect to another host."""
+        self.phase = ShutdownPhase.DRAINING
+        self._started_at = trio.current_time()
+
+    def refuse_requests(self) -> None:
+        """Refuses new requests from now on."""
+        self.phase = ShutdownPhase.REFUSING
+
+    def interrupt_calls(self) -> int:
+        """Interrupts the calls in progress and returns their number."""
+        self.phase = ShutdownPhase.INTERRUPTING
+        interrupted = list(self._scopes)
+        for scope in interrupted:
+            scope.cancel()
+        return len(interrupted)
+
+    async def execute(
+        self, call: Call, executor: Callable[[Call], Awaitable[Outcome]]
+    ) -> Outcome:
+        """Executes a call; its outcome is decided at once if it is interrupted."""
+        outcome: Outcome | None = None
+        with self._interruptible():
+            outcome = await executor(call)
+        return _outcome_of_interrupted(call) if outcome is None else outcome
+
+    @contextmanager
+    def _interruptible(self) -> Iterator[None]:
+        with trio.CancelScope() as scope:
+            if self.phase is ShutdownPhase.INTERRUPTING:
+                scope.cancel()
+            self._scopes.add(scope)
+            try:
+                yield
+            finally:
+                self._scopes.discard(scope)
+
+
+def _outcome_of_interrupted(call: Call) -> Outcome:
+    if call.may_have_run:
+        detail = "the host stopped before the response arrived"
+        return Unanswered(FailureReason.HOST_STOPPED, detail)
+    return Refused(RefusalReason.DRAINING, "the host stopped before it was sent")
--- a/mangospoke/verdicts.py
+++ b/mangospoke/verdicts.py
@@ -67,6 +67,7 @@
     ANSWER_TOO_LARGE = "answer-too-large"
     CANCELLED = "cancelled"
     REQUEST_BROKEN = "request-broken"
+    HOST_STOPPED = "host-stopped"
     EARLIER_ATTEMPT_IN_PROGRESS = "earlier-attempt-in-progress"
     EARLIER_ATTEMPT_UNKNOWN = "earlier-attempt-unknown"
     EARLIER_ATTEMPT_ANSWER_LOST = "earlier-attempt-answer-lost"
@@ -147,6 +148,7 @@
     FailureReason.MALFORMED_ANSWER: FailureRule(502),
     FailureReason.CANCELLED: FailureRule(499),
     FailureReason.REQUEST_BROKEN: FailureRule(400),
+    FailureReason.HOST_STOPPED: FailureRule(502),
     FailureReason.EARLIER_ATTEMPT_IN_PROGRESS: FailureRule(409),
     FailureReason.EARLIER_ATTEMPT_UNKNOWN: FailureRule(409),
     FailureReason.EARLIER_ATTEMPT_ANSWER_LOST: FailureRule(409, Verdict.RAN),
--- /dev/null
+++ b/tests/daemon/test_stopping.py
@@ -0,0 +1,154 @@
+"""A shutdown answers every accepted request, however the load behaves."""
+
+import trio
+import trio.testing
+
+from mangospoke.calls import Call, RetryAllowance, SendStatus
+from mangospoke.conf.declarations import Importance
+from mangospoke.daemon.stopping import ShutdownSchedule, ShutdownSteps, shut_down
+from mangospoke.http.bodies import buffered_body
+from mangospoke.idle import WorkCounter
+from mangospoke.shutdown import Shutdown, ShutdownPhase
+from mangospoke.verdicts import (
+    Answered,
+    FailureReason,
+    RefusalReason,
+    Verdict,
+)
+
+SCHEDULE = ShutdownSchedule(notice_s=2.0, refuse_s=3.0, interrupt_s=5.0, exit_s=6.0)
+
+
+def make_call():
+    return Call(
+        request_id="r",
+        account_id="a",
+        key_id=None,
+        service="back",
+        route="open",
+        method=b"GET",
+        target=b"/",
+        headers=[],
+        body=buffered_body(b""),
+        deadline=trio.current_time() + 60,
+        importance=Importance(0),
+        idempotent=True,
+        idempotency_key=None,
+        retries=RetryAllowance(0),
+    )
+
+
+class FakeAcceptor:
+    def __init__(self):
+        self.closed_at = None
+
+    def stop_accepting(self):
+        if self.closed_at is None:
+            self.closed_at = trio.current_time()
+
+
+class StoppingDaemon:
+    """A daemon that consists of its shutdown and of the calls that a test sends."""
+
+    def __init__(self):
+        self.shutdown = Shutdown()
+        self.work = WorkCounter()
+        self.acceptor = FakeAcceptor()
+        self.outcomes = []
+        self.refused_count = 0
+        self.stopped_after_s = None
+
+    async def send(self, duration_s, status=SendStatus.SENT):
+        if self.shutdown.refuses_requests:
+            self.refused_count += 1
+            return
+        call = make_call()
+
+        async def execute(call):
+            call.send_status = status
+            await trio.sleep(duration_s)
+            return Answered(200, [], buffered_body(b""))
+
+        with self.work:
+            self.outcomes.append(await self.shutdown.execute(call, execute))
+
+    async def stop(self):
+        started_at = trio.current_time()
+        steps = ShutdownSteps(lambda: None, [self.acceptor])
+        await shut_down(SCHEDULE, steps, self.shutdown, self.work)
+        self.stopped_after_s = trio.current_time() - started_at
+
+
+async def test_a_load_that_does_not_cease_is_not_cut(autojump_clock):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+
+        async def send_forever():
+            while daemon.stopped_after_s is None:
+                nursery.start_soon(daemon.send, 0.5)
+                await trio.sleep(0.1)
+
+        nursery.start_soon(send_forever)
+        await trio.sleep(1)
+        await daemon.stop()
+    assert daemon.outcomes
+    assert all(isinstance(outcome, Answered) for outcome in daemon.outcomes)
+    assert daemon.refused_count > 0
+    assert daemon.stopped_after_s < SCHEDULE.interrupt_s
+
+
+async def test_a_call_that_outlasts_the_shutdown_is_answered_truthfully(
+    autojump_clock,
+):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(daemon.send, 100, SendStatus.UNSENT)
+        await trio.sleep(0.1)
+        nursery.start_soon(daemon.send, 100, SendStatus.SENT)
+        await trio.sleep(0.1)
+        await daemon.stop()
+    unsent, sent = sorted(daemon.outcomes, key=lambda outcome: outcome.verdict.value)[
+        ::-1
+    ]
+    assert unsent.verdict is Verdict.NOT_RUN
+    assert unsent.reason is RefusalReason.DRAINING
+    assert sent.verdict is Verdict.MAY_HAVE_RUN
+    assert sent.reason is FailureReason.HOST_STOPPED
+    assert SCHEDULE.interrupt_s <= daemon.stopped_after_s < SCHEDULE.exit_s
+
+
+async def test_a_response_before_the_end_of_the_shutdown_is_waited_for(
+    autojump_clock,
+):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(daemon.send, SCHEDULE.interrupt_s - 0.1)
+        await trio.testing.wait_all_tasks_blocked()
+        await daemon.stop()
+    assert isinstance(daemon.outcomes[0], Answered)
+
+
+async def test_listeners_stay_open_until_all_requests_are_answered(autojump_clock):
+    daemon = StoppingDaemon()
+    started_at = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(daemon.send, 4.0)
+        await trio.testing.wait_all_tasks_blocked()
+        await daemon.stop()
+    assert daemon.acceptor.closed_at - started_at > 4.0
+
+
+async def test_an_idle_daemon_stops_after_the_notice_period(autojump_clock):
+    daemon = StoppingDaemon()
+    await daemon.stop()
+    assert SCHEDULE.notice_s <= daemon.stopped_after_s < SCHEDULE.refuse_s + 0.5
+    assert daemon.shutdown.phase is ShutdownPhase.REFUSING
+
+
+async def test_work_that_ignores_the_interruption_does_not_delay_the_exit(
+    autojump_clock,
+):
+    daemon = StoppingDaemon()
+    with daemon.work:
+        await daemon.stop()
+    assert daemon.stopped_after_s == SCHEDULE.exit_s
--- a/tests/ingress/test_hosted.py
+++ b/tests/ingress/test_hosted.py
@@ -16,6 +16,7 @@
 from mangospoke.ingress.dialect import CallerDialect, CallerFields
 from mangospoke.ingress.hosted import HostedRequestHandler
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.shutdown import Shutdown
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.verdicts import (
@@ -83,6 +84,7 @@
         self.returned_tokens = []
         self.downstream_delay_by_service = {}
         self.outcome = None
+        self.shutdown = Shutdown()
         dialect = CallerDialect(
             self._read_fields, lambda request, service: [], self._build_response
         )
@@ -96,6 +98,7 @@
             self.dispatcher,
             lambda service: self.downstream_delay_by_service.get(service, 0.0),
             DecisionLog(),
+            self.shutdown,
         )
 
     def _read_fields(self, request):
@@ -208,3 +211,12 @@
     harness.dispatcher.outcome = Unanswered(FailureReason.PEER_SILENT)
     await harness.send("/open/1")
     assert harness.returned_tokens == []
+
+
+async def test_a_request_that_comes_too_late_in_a_shutdown_is_not_dispatched(harness):
+    harness.shutdown.start()
+    assert isinstance(await harness.send("/open/1"), Answered)
+    harness.shutdown.refuse_requests()
+    refused = await harness.send("/open/1")
+    assert refused.reason is RefusalReason.DRAINING
+    assert len(harness.dispatcher.calls) == 1
