Close a connection only behind the responses of all handled requests

Callers saw: pipelined requests that had been passed to upstreams and got no response when the host was stopped, or when an earlier response on their connection was an internal error or broke off. Cause: the first response that asked for the close, or that couldn't be completed, cancelled the requests behind it on its connection, as if they were unread. They had been passed on. Change: a response that asks for the close stops the reading of further requests; the close is announced by the response to the last request that was passed on. No request is started behind a body that is still being streamed. A streamed body in front of requests that run already is held back up to 1 MiB, so that it becomes a 502 if it breaks off; a larger one can still take the requests behind it along. Two tests expected that handled requests behind a closing response get none. They are replaced: all handled ones are answered, only the last response closes, and a request behind it isn't handled.

--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -1,7 +1,7 @@
 """Server side of HTTP/1.1: serves the requests of each accepted connection."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field, replace
 
 import h11
 import trio
@@ -10,7 +10,11 @@
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http import fields
-from mangospoke.http.bodies import buffered_body
+from mangospoke.http.bodies import (
+    IncompleteBodyError,
+    buffered_body,
+    streamed_body,
+)
 from mangospoke.http.listener import ConnectionHandler
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.reading import (
@@ -23,7 +27,7 @@
 from mangospoke.idle import WorkCounter
 from mangospoke.shutdown import Shutdown
 from mangospoke.streams import Stream
-from mangospoke.verdicts import Verdict
+from mangospoke.verdicts import FailureReason, Verdict
 
 RequestHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -38,6 +42,9 @@
 
 _SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
+_MAX_HELD_BODY_BYTES = 1_048_576
+"""Size up to which a streamed body is held back while other requests run behind it."""
+
 _LINGERING_CLOSE_S = 2.0
 """How long input is discarded after the last response, before the close."""
 
@@ -95,13 +102,15 @@
     Attributes:
         finished: Set once the response is written, so that the next one may be.
         previous: The response before it, until that is known to be finished.
+        is_streamed: Whether its body is not complete yet, so that it may break off.
     """
 
-    __slots__ = ("finished", "previous")
+    __slots__ = ("finished", "is_streamed", "previous")
 
     def __init__(self, previous: "_PendingResponse | None") -> None:
         self.finished = trio.Event()
         self.previous = previous
+        self.is_streamed = False
 
     async def wait_for_previous(self) -> None:
         """Waits until this response may be written."""
@@ -127,6 +136,10 @@
     read, and each runs in a task of its own. Most callers don't pipeline; their
     requests are served without a new task, which saves a scheduler switch per request.
 
+    A request that was passed to the handler gets its response. So the connection is
+    only closed after the response to the last such request, whichever response asked
+    for the close, and no request is started behind a body that may break off.
+
     Attributes:
         needs_lingering_close: Whether the caller may still be sending after the last
             response.
@@ -141,6 +154,7 @@
         self._context = context
         self._last_response: _PendingResponse | None = None
         self._last_method_is_safe = True
+        self._is_closing = False
         self._is_pipelining = False
         self._pipelining_checks_left = _PIPELINING_CHECKS
 
@@ -166,6 +180,11 @@
         if request is None:
             raise CallerDisconnectedError
         await self._wait_for_conflicting_requests(request)
+        if self._is_closing:
+            # The caller will find the request unanswered behind a response that closes
+            # the connection, and knows that it has not run.
+            await self._wait_for_earlier_responses()
+            return False
         response = self._last_response = _PendingResponse(self._last_response)
         if not self._detect_pipelining(cycle):
             await self._serve_sequentially(
@@ -211,12 +230,21 @@
         return self._last_response is None or self._last_response.finished.is_set()
 
     async def _wait_for_conflicting_requests(self, request: HttpRequest) -> None:
-        """Lets a request overlap with earlier ones only if all methods are safe."""
+        """Lets a request overlap with earlier ones only if all methods are safe.
+
+        It doesn't overlap with a streamed response either: if that breaks off, no other
+        response can follow on the connection.
+        """
         is_safe = request.method in _SAFE_METHODS
         may_overlap = is_safe and self._last_method_is_safe
         self._last_method_is_safe = is_safe
         response = self._last_response
-        if response is not None and not may_overlap and not response.finished.is_set():
+        if response is not None and (not may_overlap or response.is_streamed):
+            await self._wait_for_earlier_responses()
+
+    async def _wait_for_earlier_responses(self) -> None:
+        response = self._last_response
+        if response is not None and not response.finished.is_set():
             await self._wait_until_finished(response)
 
     async def _wait_until_finished(self, response: _PendingResponse) -> None:
@@ -238,8 +266,9 @@
             with self._context.work:
                 response = await _run_handler(self._handler, request)
                 async with response.body:
-                    await pending_response.wait_for_previous()
-                    await write_response(cycle, response, request.method)
+                    await self._write_in_order(
+                        cycle, request, response, pending_response
+                    )
         except (
             CallerDisconnectedError,
             trio.BrokenResourceError,
@@ -251,17 +280,35 @@
         if http.our_state is h11.DONE and http.their_state is h11.DONE:
             pending_response.finished.set()
             return
-        # Requests read after this one are cancelled and count as unread. A caller that
-        # requested the close sends nothing more, so that no lingering close is needed.
+        # A caller that requested the close sends nothing more, so that no lingering
+        # close is needed.
         is_last = http.their_state is h11.MUST_CLOSE
         self.needs_lingering_close = http.our_state is not h11.ERROR and not is_last
         connection_scope.cancel()
 
+    async def _write_in_order(
+        self,
+        cycle: RequestCycle,
+        request: HttpRequest,
+        response: HttpResponse,
+        pending_response: _PendingResponse,
+    ) -> None:
+        """Writes a response after all earlier ones."""
+        if response.closes_connection:
+            self._is_closing = True
+        if response.body.content is None:
+            pending_response.is_streamed = True
+            if pending_response is not self._last_response:
+                response = await _with_complete_body(response)
+        await pending_response.wait_for_previous()
+        is_last = pending_response is self._last_response
+        response.closes_connection = self._is_closing and is_last
+        await write_response(cycle, response, request.method)
+
     async def _reject_request(
         self, cycle: RequestCycle, error: BadRequestError
     ) -> None:
-        if self._last_response is not None:
-            await self._last_response.finished.wait()
+        await self._wait_for_earlier_responses()
         await write_error_response(cycle, error)
         self.needs_lingering_close = True
 
@@ -278,6 +325,53 @@
             pass
 
 
+async def _with_complete_body(response: HttpResponse) -> HttpResponse:
+    """Returns a response with its body read into memory; an error if it breaks off.
+
+    A body that is too large for that stays streamed.
+    """
+    body = response.body
+    if body.length is not None and body.length > _MAX_HELD_BODY_BYTES:
+        return response
+    held: list[bytes] = []
+    size = 0
+    chunks = body.chunks()
+    try:
+        async for chunk in chunks:
+            held.append(chunk)
+            size += len(chunk)
+            if size > _MAX_HELD_BODY_BYTES:
+                rest = streamed_body(_chain(held, chunks), body.length)
+                return replace(response, body=rest)
+    except IncompleteBodyError as error:
+        return _broken_body_response(str(error))
+    if body.length is not None and size != body.length:
+        return _broken_body_response(f"{size} of {body.length} bytes were received")
+    return replace(response, body=buffered_body(b"".join(held)))
+
+
+async def _chain(
+    held: list[bytes], chunks: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    for chunk in held:
+        yield chunk
+    async for chunk in chunks:
+        yield chunk
+
+
+def _broken_body_response(detail: str) -> HttpResponse:
+    logger.bind(event="response_broken", detail=detail).warning(
+        "a response broke off before it was sent to the caller: {}", detail
+    )
+    reason = FailureReason.TRUNCATED_ANSWER.value.encode()
+    headers = [
+        (b"content-type", b"text/plain"),
+        (fields.VERDICT, Verdict.RAN.value.encode()),
+        (fields.REASON, reason),
+    ]
+    return HttpResponse(502, headers, buffered_body(reason + b"\n"))
+
+
 async def _run_handler(handler: RequestHandler, request: HttpRequest) -> HttpResponse:
     """Runs the handler; an unexpected exception becomes a 500 response."""
     try:
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -70,10 +70,30 @@
 
 
 async def test_a_closing_response_ends_the_connection():
+    handled = []
+
     async def handler(request):
+        handled.append(request)
         return HttpResponse(200, [], buffered_body(b"last"), closes_connection=True)
 
     received = await exchange(handler, GET_REQUEST + GET_REQUEST)
+    assert received.count(b"HTTP/1.1 200") == len(handled)
+    assert received.lower().count(b"connection: close") == 1
+    last_response = received[received.rindex(b"HTTP/1.1") :]
+    assert b"connection: close" in last_response.lower()
+    assert received.endswith(b"last")
+
+
+async def test_a_request_behind_a_closing_response_is_not_handled():
+    handled = []
+
+    async def handler(request):
+        handled.append(request)
+        return HttpResponse(200, [], buffered_body(b"last"), closes_connection=True)
+
+    post = encode_post(b"/x")
+    received = await exchange(handler, post + post)
+    assert len(handled) == 1
     assert received.count(b"HTTP/1.1 200") == 1
     assert b"connection: close" in received.lower()
 
@@ -139,9 +159,19 @@
     assert received.count(b"HTTP/1.1 200") == 3
 
 
-async def test_requests_after_a_closing_response_are_not_answered():
+async def test_a_close_after_an_earlier_response_cuts_no_handled_request():
     handler = RecordingHandler(last_path="/slow")
     received = await exchange(handler, encode_get(b"/slow") + encode_get(b"/fast"))
+    assert handler.events.count("start /fast") == 1
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.lower().count(b"connection: close") == 1
+    assert received.endswith(b"/fast")
+
+
+async def test_requests_after_a_closing_response_are_not_answered():
+    handler = RecordingHandler(last_path="/slow")
+    received = await exchange(handler, encode_get(b"/slow") + encode_post(b"/fast"))
+    assert "start /fast" not in handler.events
     assert received.count(b"HTTP/1.1 200") == 1
     assert received.endswith(b"/slow")
 
