Let a stopping daemon wait for connections whose last response is on its way

Callers could see: a response that was sent just before the process ended, and was destroyed by a reset. Cause: after a closing response, input of the caller is discarded for up to 2 s before the connection is closed. A shutdown didn't count these connections; its end closed them with unread input, which resets them and can discard the response. Change: they are counted, and the end of a shutdown waits for them, too. Evidence: the new test fails without the wait.

--- a/mangospoke/daemon/hosted_run.py
+++ b/mangospoke/daemon/hosted_run.py
@@ -71,8 +71,7 @@
                 shut_down_on_signal,
                 lambda: _read_schedule(daemon),
                 _make_steps(daemon, acceptors),
-                daemon.connections.shutdown,
-                daemon.connections.work,
+                daemon.connections,
                 nursery.cancel_scope,
             )
             nursery.start_soon(_reload_on_signal, daemon, platform.read_hosted_settings)
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -72,8 +72,7 @@
                 shut_down_on_signal,
                 lambda: _SHUTDOWN_SCHEDULE,
                 _make_steps(daemon, acceptors),
-                daemon.connections.shutdown,
-                daemon.connections.work,
+                daemon.connections,
                 nursery.cancel_scope,
             )
             logger.bind(event="started").info("serving {}", settings.listen.public)
--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from mangospoke.http.listener import Acceptor
+from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
 from mangospoke.shutdown import Shutdown
 
@@ -52,8 +53,7 @@
 async def shut_down_on_signal(
     read_schedule: Callable[[], ShutdownSchedule],
     steps: ShutdownSteps,
-    shutdown: Shutdown,
-    work: WorkCounter,
+    connections: ConnectionContext,
     scope: trio.CancelScope,
 ) -> None:
     """Shuts down gracefully on SIGTERM or SIGINT, then cancels the daemon's scope.
@@ -63,17 +63,17 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             break
-        await shut_down(read_schedule(), steps, shutdown, work)
+        await shut_down(read_schedule(), steps, connections)
         scope.cancel()
 
 
 async def shut_down(
     schedule: ShutdownSchedule,
     steps: ShutdownSteps,
-    shutdown: Shutdown,
-    work: WorkCounter,
+    connections: ConnectionContext,
 ) -> None:
     """Answers all accepted requests, in the time that the schedule allows."""
+    shutdown, work = connections.shutdown, connections.work
     started_at = trio.current_time()
     shutdown.start()
     logger.bind(event="stopping", in_progress=work.count).info(
@@ -86,11 +86,11 @@
         shutdown.refuse_requests()
         _log_phase(shutdown, work)
         with trio.move_on_at(started_at + schedule.interrupt_s) as completing:
-            await _complete_requests(steps.acceptors, work)
+            await _complete_requests(steps.acceptors, connections)
         if completing.cancelled_caught:
             interrupted = shutdown.interrupt_calls()
             _log_phase(shutdown, work, interrupted)
-            await _complete_requests(steps.acceptors, work)
+            await _complete_requests(steps.acceptors, connections)
         await steps.finish()
     if work.count:
         logger.bind(event="stop_incomplete", in_progress=work.count).error(
@@ -103,16 +103,19 @@
     await _wait_idle(work)
 
 
-async def _complete_requests(acceptors: Sequence[Acceptor], work: WorkCounter) -> None:
+async def _complete_requests(
+    acceptors: Sequence[Acceptor], connections: ConnectionContext
+) -> None:
     """Waits until all requests are answered, and closes the listeners.
 
     The listening sockets are closed before the connections, so that a caller either
     fails to connect, and knows that its request has not run, or gets a response.
     """
-    await _wait_idle(work)
+    await _wait_idle(connections.work)
     for acceptor in acceptors:
         acceptor.stop_accepting()
-    await _wait_idle(work)
+    await _wait_idle(connections.work)
+    await connections.closing.wait_idle()
 
 
 async def _wait_idle(work: WorkCounter) -> None:
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -58,12 +58,14 @@
         work: Counts the requests in progress, so that a planned stop waits for them.
         hang_ups: Cancels the requests of callers that closed their connection.
         shutdown: Interrupts the requests of peers at the end of a shutdown.
+        closing: Counts the connections whose last response may still be on its way.
     """
 
     limits: Limits
     work: WorkCounter
     hang_ups: HangUpMonitor
     shutdown: Shutdown = field(default_factory=Shutdown)
+    closing: WorkCounter = field(default_factory=WorkCounter)
 
 
 def make_connection_handler(
@@ -89,7 +91,8 @@
     try:
         await connection.serve()
         if connection.needs_lingering_close:
-            await _discard_input(connection.stream)
+            with context.closing:
+                await _discard_input(connection.stream)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         return
     finally:
--- a/tests/daemon/test_stopping.py
+++ b/tests/daemon/test_stopping.py
@@ -5,8 +5,11 @@
 
 from mangospoke.calls import Call, RetryAllowance, SendStatus
 from mangospoke.conf.declarations import Importance
+from mangospoke.conf.settings import Limits
 from mangospoke.daemon.stopping import ShutdownSchedule, ShutdownSteps, shut_down
+from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
+from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
 from mangospoke.shutdown import Shutdown, ShutdownPhase
 from mangospoke.verdicts import (
@@ -53,6 +56,9 @@
     def __init__(self):
         self.shutdown = Shutdown()
         self.work = WorkCounter()
+        self.connections = ConnectionContext(
+            Limits(), self.work, HangUpMonitor(), self.shutdown
+        )
         self.acceptor = FakeAcceptor()
         self.outcomes = []
         self.refused_count = 0
@@ -75,7 +81,7 @@
     async def stop(self):
         started_at = trio.current_time()
         steps = ShutdownSteps(lambda: None, [self.acceptor])
-        await shut_down(SCHEDULE, steps, self.shutdown, self.work)
+        await shut_down(SCHEDULE, steps, self.connections)
         self.stopped_after_s = trio.current_time() - started_at
 
 
@@ -152,3 +158,19 @@
     with daemon.work:
         await daemon.stop()
     assert daemon.stopped_after_s == SCHEDULE.exit_s
+
+
+async def test_a_connection_that_is_being_closed_is_not_reset_by_the_exit(
+    autojump_clock,
+):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+
+        async def close_slowly():
+            with daemon.connections.closing:
+                await trio.sleep(4.0)
+
+        nursery.start_soon(close_slowly)
+        await trio.testing.wait_all_tasks_blocked()
+        await daemon.stop()
+    assert 4.0 <= daemon.stopped_after_s < SCHEDULE.interrupt_s
