Who cancels a request says why before it cancels

Callers whose request this daemon itself cancelled saw no answer, and the log called each of them a caller that hung up: nothing on the way to the log knew who had cancelled. Each request and call now carries a Cancellation. The hang-up monitor, the peer server and each place of the HTTP server that ends a connection set the cause of all requests in progress there, pipelined ones too; without a cause, the daemon ended. The first cause stays. When and why requests are cancelled is unchanged.

A response that is ready but can't be written, which left no line at all, is handed to the context's record_undelivered.

--- a/mangospoke/calls.py
+++ b/mangospoke/calls.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from mangospoke.cancellation import Cancellation
 from mangospoke.conf.declarations import Importance
 from mangospoke.http.bodies import Body
 from mangospoke.ids import (
@@ -92,6 +93,7 @@
             it to the upstream.
         target_latency_s: Latency target in seconds, or None.
         attempts: Hosts that it was sent to, for the log.
+        cancellation: Cause for which the call is cancelled.
     """
 
     request_id: RequestId
@@ -120,6 +122,7 @@
     admitted_at: float = 0.0
     target_latency_s: float | None = None
     attempts: list[Attempt] = field(default_factory=list)
+    cancellation: Cancellation = field(default_factory=Cancellation)
 
     @property
     def may_have_run(self) -> bool:
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -1,16 +1,18 @@
 """Server side of HTTP/1.1: serves the requests of each accepted connection."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
 import h11
 import trio
 from loguru import logger
 
+from mangospoke.cancellation import CancelCause, Cancellation
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http import fields
 from mangospoke.http.bodies import buffered_body
+from mangospoke.http.delivery import UndeliveredResponse, ignore_undelivered
 from mangospoke.http.listener import ConnectionHandler
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.reading import (
@@ -49,11 +51,13 @@
         limits: Size limits and timeouts of requests.
         work: Counts the requests in progress, so that a planned stop waits for them.
         hang_ups: Cancels the requests of callers that closed their connection.
+        record_undelivered: Records a response that the caller didn't get completely.
     """
 
     limits: Limits
     work: WorkCounter
     hang_ups: HangUpMonitor
+    record_undelivered: Callable[[UndeliveredResponse], None] = ignore_undelivered
 
 
 def make_connection_handler(
@@ -90,13 +94,17 @@
     """The position of one request's response in the order of its connection.
 
     Attributes:
+        cancellation: Cause for which the request is cancelled.
         finished: Set once the response is written, so that the next one may be.
         previous: The response before it, until that is known to be finished.
     """
 
-    __slots__ = ("finished", "previous")
+    __slots__ = ("cancellation", "finished", "previous")
 
-    def __init__(self, previous: "_PendingResponse | None") -> None:
+    def __init__(
+        self, cancellation: Cancellation, previous: "_PendingResponse | None"
+    ) -> None:
+        self.cancellation = cancellation
         self.finished = trio.Event()
         self.previous = previous
 
@@ -109,12 +117,14 @@
 
     def count_unfinished_before(self) -> int:
         """Returns the number of earlier responses that are not finished."""
-        count = 0
-        response = self.previous
-        while response is not None and not response.finished.is_set():
-            count += 1
-            response = response.previous
-        return count
+        return sum(1 for _ in _unfinished(self.previous))
+
+
+def _unfinished(response: _PendingResponse | None) -> Iterator[_PendingResponse]:
+    """Yields the unfinished responses up to the given one, the latest first."""
+    while response is not None and not response.finished.is_set():
+        yield response
+        response = response.previous
 
 
 class _ServerConnection:
@@ -155,15 +165,26 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
             ):
+                self._record_hang_up()
                 nursery.cancel_scope.cancel()
 
+    def _record_hang_up(self) -> None:
+        self._set_cause(CancelCause.CALLER_HUNG_UP)
+
+    def _set_cause(self, cause: CancelCause) -> None:
+        """Sets why all requests in progress on this connection are cancelled."""
+        for response in _unfinished(self._last_response):
+            response.cancellation.set_cause(cause)
+
     async def _start_request(self, cycle: RequestCycle, nursery: trio.Nursery) -> bool:
         """Reads a request, starts it, and returns whether to read another."""
         request = await read_request(cycle, self._is_idle)
         if request is None:
             raise CallerDisconnectedError
         await self._wait_for_conflicting_requests(request)
-        response = self._last_response = _PendingResponse(self._last_response)
+        response = self._last_response = _PendingResponse(
+            request.cancellation, self._last_response
+        )
         if not self._detect_pipelining(cycle):
             await self._serve_sequentially(
                 cycle, request, response, nursery.cancel_scope
@@ -192,7 +213,7 @@
         connection_scope: trio.CancelScope,
     ) -> None:
         """Serves a request without reading further ones in the meantime."""
-        with self._context.hang_ups.watch(self.stream):
+        with self._context.hang_ups.watch(self.stream, self._record_hang_up):
             await self._serve_request(cycle, request, response, connection_scope)
             self._check_early_input()
             return
@@ -218,7 +239,7 @@
 
     async def _wait_until_finished(self, response: _PendingResponse) -> None:
         """Waits until a response is written, without reading further requests."""
-        with self._context.hang_ups.watch(self.stream):
+        with self._context.hang_ups.watch(self.stream, self._record_hang_up):
             await response.finished.wait()
             return
         raise CallerDisconnectedError
@@ -234,9 +255,7 @@
         try:
             with self._context.work:
                 response = await _run_handler(self._handler, request)
-                async with response.body:
-                    await pending_response.wait_for_previous()
-                    await write_response(cycle, response, request.method)
+                await self._deliver(cycle, request, response, pending_response)
         except (
             CallerDisconnectedError,
             trio.BrokenResourceError,
@@ -252,8 +271,35 @@
         # requested the close sends nothing more, so that no lingering close is needed.
         is_last = http.their_state is h11.MUST_CLOSE
         self.needs_lingering_close = http.our_state is not h11.ERROR and not is_last
+        self._set_cause(CancelCause.CONNECTION_CLOSED)
         connection_scope.cancel()
 
+    async def _deliver(
+        self,
+        cycle: RequestCycle,
+        request: HttpRequest,
+        response: HttpResponse,
+        pending_response: _PendingResponse,
+    ) -> None:
+        """Writes a response in its turn; records it if it can't be written."""
+        is_written = False
+        try:
+            async with response.body:
+                await pending_response.wait_for_previous()
+                await write_response(cycle, response, request.method)
+                is_written = cycle.http.our_state is not h11.ERROR
+                if not is_written:
+                    request.cancellation.set_cause(CancelCause.BODY_INCOMPLETE)
+        except Exception as error:
+            self._set_cause(_cause_of(error))
+            raise
+        finally:
+            if not is_written:
+                is_started = cycle.http.our_state is not h11.SEND_RESPONSE
+                self._context.record_undelivered(
+                    UndeliveredResponse(request, response.status, is_started)
+                )
+
     async def _reject_request(
         self, cycle: RequestCycle, error: BadRequestError
     ) -> None:
@@ -263,6 +309,15 @@
         self.needs_lingering_close = True
 
 
+def _cause_of(error: Exception) -> CancelCause:
+    """Returns why an error that occurred while writing cancels a connection."""
+    if isinstance(error, CallerDisconnectedError):
+        return CancelCause.CALLER_NOT_READING
+    if isinstance(error, trio.BrokenResourceError | trio.ClosedResourceError):
+        return CancelCause.CALLER_HUNG_UP
+    return CancelCause.CONNECTION_CLOSED
+
+
 async def _discard_input(stream: Stream) -> None:
     """Lets a caller that is still sending read its response before the close.
 
--- a/mangospoke/ingress/calls.py
+++ b/mangospoke/ingress/calls.py
@@ -89,6 +89,7 @@
         key_use=key_use,
         entered_at=now,
         target_latency_s=route.target_latency_s,
+        cancellation=request.cancellation,
     )
 
 
@@ -129,6 +130,7 @@
         parent_id=parent.request_id,
         entered_at=now,
         target_latency_s=route.target_latency_s,
+        cancellation=request.cancellation,
     )
 
 
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -141,7 +141,7 @@
     frames: FrameStream, call: Call, execute: Executor, hang_ups: HangUpMonitor
 ) -> Outcome | None:
     """Executes a call; returns None if the peer closes the connection meanwhile."""
-    with hang_ups.watch(frames.stream):
+    with hang_ups.watch(frames.stream, call.cancellation.record_hang_up):
         return await execute(call)
     return None
 
