A cancelled request's line tells cause and state of the stop

"ended" has cancelled_by, stop and stop_elapsed_ms. The reason stays `cancelled` for callers that left and is `connection-closed` or `stopped` for what this daemon cancelled, so that these lines have the budget of losses. Requests cancelled while they wait for a token, and responses that were ready but not written (response_undelivered), leave a line too. mangospoke_requests_unanswered_total counts what the daemon left unanswered, by service and cause.

DecisionLog.read_stop_state says "serving" until the stop is connected to it.

--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -145,7 +145,12 @@
             quarantine.clear,
             log.sink.dropped_lines,
         ),
-        connections=ConnectionContext(settings.limits, WorkCounter(), HangUpMonitor()),
+        connections=ConnectionContext(
+            settings.limits,
+            WorkCounter(),
+            HangUpMonitor(),
+            decisions.record_undelivered,
+        ),
         rates=rates,
     )
     return daemon
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -192,7 +192,10 @@
             self.registrar.handle_heartbeat
         )
         self.connections = ConnectionContext(
-            settings.limits, WorkCounter(), HangUpMonitor()
+            settings.limits,
+            WorkCounter(),
+            HangUpMonitor(),
+            self.decisions.record_undelivered,
         )
         self.operations = OperationsRequestHandler(
             lambda: read_hosted_status(self),
--- a/mangospoke/forensics/causes.py
+++ b/mangospoke/forensics/causes.py
@@ -39,6 +39,10 @@
     RefusalReason.IDEMPOTENCY_STORE_FULL: "the idempotency store was full",
     RefusalReason.NOT_CONFIGURED: "the host had no configuration yet",
     RefusalReason.CANCELLED: "its caller disconnected before it was forwarded",
+    RefusalReason.CONNECTION_CLOSED: (
+        "the host closed the caller's connection before it was forwarded"
+    ),
+    RefusalReason.STOPPED: "the host's daemon ended before it was forwarded",
 }
 """Causes of refusals; the request did not run."""
 
@@ -58,6 +62,10 @@
     FailureReason.MALFORMED_ANSWER: "the upstream's response was malformed",
     FailureReason.ANSWER_TOO_LARGE: "the upstream's response was larger than allowed",
     FailureReason.CANCELLED: "its caller disconnected while it may have been running",
+    FailureReason.CONNECTION_CLOSED: (
+        "the host closed the caller's connection while it may have been running"
+    ),
+    FailureReason.STOPPED: "the host's daemon ended while it may have been running",
     FailureReason.REQUEST_BROKEN: "its caller aborted while sending it",
     FailureReason.EARLIER_ATTEMPT_IN_PROGRESS: (
         "an earlier attempt with its idempotency key was still running"
--- a/mangospoke/forensics/log_reader.py
+++ b/mangospoke/forensics/log_reader.py
@@ -13,10 +13,13 @@
     LinesDropped,
     RequestEnded,
     RequestGuarded,
+    ResponseUndelivered,
     UpstreamEjected,
 )
 
-TypedEvent = RequestEnded | RequestGuarded | UpstreamEjected | LinesDropped
+TypedEvent = (
+    RequestEnded | ResponseUndelivered | RequestGuarded | UpstreamEjected | LinesDropped
+)
 
 
 class _CommonFields(Struct, frozen=True):
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -71,6 +71,7 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Authenticates a request, enforces its account's rate and dispatches it."""
         fields = self._dialect.read_fields(request)
+        request.request_id = fields.request_id
         outcome = await self._process(request, fields, trio.current_time())
         response = self._dialect.build_response(outcome, fields.request_id)
         response.closes_connection = self.closes_connections
@@ -83,16 +84,17 @@
         route = self._match_route(request, fields, configuration)
         if isinstance(route, Refused):
             return self._refuse(route, fields, NO_ACCOUNT, _NO_SERVICE)
-        service = self._splitter.choose(route)
+        service = request.service = self._splitter.choose(route)
         account = self._authenticate(route, fields, configuration)
         if isinstance(account, Refused):
             return self._refuse(account, fields, NO_ACCOUNT, service)
         if account is not None and account.rate:
-            quota_refusal = await self._quota(account)
+            quota_refusal = await self._take_token(request, fields, service, account)
             if quota_refusal is not None:
                 return self._refuse(quota_refusal, fields, account.account_id, service)
         call = self._make_call(request, fields, route, service, account)
         call.entered_at = entered_at
+        request.request_id = call.request_id
         if call.is_sub_call:
             self.callees.record_call(service, trio.current_time())
         else:
@@ -105,6 +107,26 @@
             self._return_unused_token(account)
         return outcome
 
+    async def _take_token(
+        self,
+        request: HttpRequest,
+        fields: CallerFields,
+        service: ServiceName,
+        account: EffectiveAccount,
+    ) -> Refused | None:
+        """Waits for a token of an account's rate; returns why there is none."""
+        try:
+            return await self._quota(account)
+        except trio.Cancelled:
+            self._decisions.record_early_cancellation(
+                account.account_id,
+                service,
+                request.cancellation,
+                fields.request_id,
+                self._fleet.configuration.version,
+            )
+            raise
+
     def _return_unused_token(self, account: EffectiveAccount | None) -> None:
         """Returns the token of a request that didn't run to its account's rate."""
         if account is not None and account.rate:
@@ -193,6 +215,7 @@
             caller=self._service if account is None else _NO_SERVICE,
             parent_id=fields.parent_id,
             target_latency_s=route.target_latency_s,
+            cancellation=request.cancellation,
         )
 
     def _refuse(
--- a/mangospoke/ingress/local.py
+++ b/mangospoke/ingress/local.py
@@ -87,6 +87,7 @@
         call = make_sub_call(request, route, parent, self._domain)
         if isinstance(call, Refused):
             return self._refuse(call, parent.account_id, route.service)
+        request.request_id, request.service = call.request_id, call.service
         outcome = await self._dispatcher.dispatch_and_record(call)
         return build_response(outcome, call.request_id, call.idempotency_key)
 
--- a/mangospoke/ingress/public.py
+++ b/mangospoke/ingress/public.py
@@ -7,7 +7,9 @@
 
 import trio
 
+from mangospoke.calls import Call
 from mangospoke.conf.declarations import Access
+from mangospoke.conf.effective import EffectiveAccount
 from mangospoke.guard.guard import DRAIN_NOTICE_S
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import ClientAccountId, FailureDomainId, ServiceName
@@ -76,13 +78,26 @@
         if isinstance(call, Refused):
             return self._refuse(call, account_id, route.service)
         call.version = configuration.version
+        request.request_id, request.service = call.request_id, call.service
         account = configuration.accounts_by_id.get(account_id)
-        quota_refusal = None if account is None else await self._quota(account)
+        quota_refusal = await self._take_token(call, account)
         if quota_refusal is not None:
             return self._refuse(quota_refusal, account_id, route.service)
         outcome = await self._dispatcher.dispatch_and_record(call)
         return build_response(outcome, call.request_id, call.idempotency_key)
 
+    async def _take_token(
+        self, call: Call, account: EffectiveAccount | None
+    ) -> Refused | None:
+        """Waits for a token of an account's rate; returns why there is none."""
+        if account is None:
+            return None
+        try:
+            return await self._quota(account)
+        except trio.Cancelled:
+            self._decisions.record_cancellation(call)
+            raise
+
     def _refuse(
         self, refused: Refused, account_id: ClientAccountId, service: ServiceName
     ) -> HttpResponse:
--- a/mangospoke/observability/decisions.py
+++ b/mangospoke/observability/decisions.py
@@ -9,11 +9,21 @@
 import trio
 
 from mangospoke.calls import Call
+from mangospoke.cancellation import (
+    CAUSED_BY_CALLER,
+    CAUSED_BY_DAEMON,
+    SERVING,
+    CancelCause,
+    Cancellation,
+    StopState,
+)
+from mangospoke.http.delivery import UndeliveredResponse
 from mangospoke.ids import ClientAccountId, HostId, RequestId, ServiceName
 from mangospoke.observability.events import (
     LogPriority,
     RequestEnded,
     RequestGuarded,
+    ResponseUndelivered,
     UpstreamEjected,
 )
 from mangospoke.observability.incidents import IncidentRecorder
@@ -48,6 +58,16 @@
 )
 """Refusals that the caller caused itself."""
 
+_REFUSALS_BY_CAUSE = {
+    CancelCause.CONNECTION_CLOSED: RefusalReason.CONNECTION_CLOSED,
+    CancelCause.STOPPED: RefusalReason.STOPPED,
+}
+_FAILURES_BY_CAUSE = {
+    CancelCause.CONNECTION_CLOSED: FailureReason.CONNECTION_CLOSED,
+    CancelCause.STOPPED: FailureReason.STOPPED,
+}
+"""Reasons of requests that this daemon cancelled; the others are `CANCELLED`."""
+
 OutcomeKey = tuple[ClientAccountId, ServiceName, Verdict, str]
 
 
@@ -60,9 +80,12 @@
         guarded_outcomes: Requests handled by this host's guard, by service and reason.
         routed: Requests sent to upstreams, by service and host.
         ejections: Ejections of upstreams, by service and host.
+        unanswered: Requests that this daemon itself left without their response, by
+            service and cause.
         latencies: Histograms of the time that requests spend in each phase.
         read_proof_age_s: Returns the seconds since the active configuration was last
             confirmed as the newest; None where that isn't tracked.
+        read_stop_state: Returns the state of the daemon's planned stop.
     """
 
     def __init__(
@@ -78,8 +101,10 @@
         self.guarded_outcomes: Counter[tuple[ServiceName, str]] = Counter()
         self.routed: Counter[tuple[ServiceName, HostId]] = Counter()
         self.ejections: Counter[tuple[ServiceName, HostId]] = Counter()
+        self.unanswered: Counter[tuple[ServiceName, CancelCause]] = Counter()
         self.latencies = LatencyHistograms()
         self.read_proof_age_s: Callable[[], float | None] = _read_no_proof_age
+        self.read_stop_state: Callable[[], StopState] = _read_no_stop
 
     def _may_write(self, priority: LogPriority, event: str, outcome: Outcome) -> bool:
         if self._log is None:
@@ -109,8 +134,16 @@
             )
             self._log.write(event, LogPriority.STATE_CHANGE)
 
-    def record_end(self, call: Call, outcome: Outcome) -> None:
-        """Records how a call ended on its ingress host."""
+    def record_end(
+        self, call: Call, outcome: Outcome, cancelled_by: CancelCause | None = None
+    ) -> None:
+        """Records how a call ended on its ingress host.
+
+        Args:
+            call: The call.
+            outcome: How it ended.
+            cancelled_by: Why it was cancelled; None if it wasn't.
+        """
         self._count(call.account_id, call.service, outcome)
         if self._incidents is not None:
             self._incidents.record_end(call, outcome)
@@ -122,11 +155,17 @@
         )
         priority = _priority_of(outcome, is_late)
         if self._log is not None and self._may_write(priority, "ended", outcome):
-            self._log.write(self._make_ended_event(call, outcome, elapsed_s), priority)
+            event = self._make_ended_event(call, outcome, elapsed_s, cancelled_by)
+            self._log.write(event, priority)
 
     def _make_ended_event(
-        self, call: Call, outcome: Outcome, elapsed_s: float
+        self,
+        call: Call,
+        outcome: Outcome,
+        elapsed_s: float,
+        cancelled_by: CancelCause | None,
     ) -> RequestEnded:
+        stop = self.read_stop_state()
         return RequestEnded(
             request_id=call.request_id,
             service=call.service,
@@ -150,6 +189,9 @@
             configuration=call.version,
             proof_age_ms=self._proof_age_ms(),
             attempts=tuple(call.attempts),
+            cancelled_by="" if cancelled_by is None else cancelled_by.value,
+            stop=stop.phase,
+            stop_elapsed_ms=_stop_elapsed_ms(stop),
         )
 
     def _proof_age_ms(self) -> float | None:
@@ -157,15 +199,64 @@
         return None if age_s is None else _to_ms(age_s)
 
     def record_cancellation(self, call: Call) -> None:
-        """Records that a caller disconnected before its call ended."""
+        """Records that a call was cancelled, by its caller or by this daemon."""
+        cancellation = call.cancellation
+        self._count_unanswered(call.service, cancellation.cause)
+        outcome: Outcome = _refused_as_cancelled(cancellation)
         if call.may_have_run:
-            self.record_end(
-                call, Unanswered(FailureReason.CANCELLED, "the caller hung up")
-            )
-        else:
-            self.record_end(
-                call, Refused(RefusalReason.CANCELLED, "the caller hung up")
-            )
+            outcome = _unanswered_as_cancelled(cancellation)
+        self.record_end(call, outcome, cancellation.cause)
+
+    def record_early_cancellation(
+        self,
+        account_id: ClientAccountId,
+        service: ServiceName,
+        cancellation: Cancellation,
+        request_id: RequestId | None = None,
+        version: int = 0,
+    ) -> None:
+        """Records a request that was cancelled before a call was created for it.
+
+        Args:
+            account_id: Account of the request; empty if unknown.
+            service: Service that it was for; empty if unknown.
+            cancellation: Why it was cancelled.
+            request_id: Id of the request, if it has one.
+            version: Version of the configuration under which it arrived.
+        """
+        self._count_unanswered(service, cancellation.cause)
+        refused = _refused_as_cancelled(cancellation)
+        self.record_early_refusal(
+            account_id, service, refused, request_id, version, cancellation.cause
+        )
+
+    def record_undelivered(self, undelivered: UndeliveredResponse) -> None:
+        """Records a response that was ready and that its caller didn't get."""
+        request = undelivered.request
+        cause = request.cancellation.cause
+        self._count_unanswered(request.service, cause)
+        priority = LogPriority.LOSS
+        if cause in CAUSED_BY_CALLER:
+            priority = LogPriority.REFUSAL
+        kind = f"response_undelivered/{cause.value}"
+        if self._log is None or not self._log.may_write(priority, kind):
+            return
+        stop = self.read_stop_state()
+        event = ResponseUndelivered(
+            request_id=request.request_id or "",
+            service=request.service,
+            status=undelivered.status,
+            cause=cause.value,
+            detail=request.cancellation.detail,
+            sent="part" if undelivered.is_started else "nothing",
+            stop=stop.phase,
+            stop_elapsed_ms=_stop_elapsed_ms(stop),
+        )
+        self._log.write(event, priority)
+
+    def _count_unanswered(self, service: ServiceName, cause: CancelCause) -> None:
+        if cause in CAUSED_BY_DAEMON:
+            self.unanswered[(service, cause)] += 1
 
     def record_early_refusal(
         self,
@@ -174,6 +265,7 @@
         refused: Refused,
         request_id: RequestId | None = None,
         version: int = 0,
+        cancelled_by: CancelCause | None = None,
     ) -> None:
         """Records a request that was refused before a call was created for it.
 
@@ -183,12 +275,14 @@
             refused: The refusal.
             request_id: Id of the request, if it has one.
             version: Version of the configuration under which it was refused.
+            cancelled_by: Why it was cancelled; None if it wasn't.
         """
         self._count(account_id, service, refused)
         if self._incidents is not None:
             self._incidents.record_refusal(account_id, service, refused)
         priority = _priority_of(refused, is_late=False)
         if self._log is not None and self._may_write(priority, "ended", refused):
+            stop = self.read_stop_state()
             event = RequestEnded(
                 request_id=request_id or "",
                 service=service,
@@ -200,6 +294,9 @@
                 retry_after_s=_retry_after_of(refused),
                 configuration=version,
                 proof_age_ms=self._proof_age_ms(),
+                cancelled_by="" if cancelled_by is None else cancelled_by.value,
+                stop=stop.phase,
+                stop_elapsed_ms=_stop_elapsed_ms(stop),
             )
             self._log.write(event, priority)
 
@@ -303,5 +400,23 @@
     return round(seconds * 1000, 1) if seconds < float("inf") else -1.0
 
 
+def _refused_as_cancelled(cancellation: Cancellation) -> Refused:
+    reason = _REFUSALS_BY_CAUSE.get(cancellation.cause, RefusalReason.CANCELLED)
+    return Refused(reason, cancellation.detail)
+
+
+def _unanswered_as_cancelled(cancellation: Cancellation) -> Unanswered:
+    reason = _FAILURES_BY_CAUSE.get(cancellation.cause, FailureReason.CANCELLED)
+    return Unanswered(reason, cancellation.detail)
+
+
+def _stop_elapsed_ms(stop: StopState) -> float | None:
+    return None if stop.elapsed_s is None else _to_ms(stop.elapsed_s)
+
+
 def _read_no_proof_age() -> float | None:
     return None
+
+
+def _read_no_stop() -> StopState:
+    return SERVING
--- a/mangospoke/observability/events.py
+++ b/mangospoke/observability/events.py
@@ -73,6 +73,10 @@
         proof_age_ms: Milliseconds since that version was last confirmed as the
             newest; -1 if it never was.
         attempts: Attempts to send it to a host, in order.
+        cancelled_by: Why it was cancelled: `caller-hung-up`, `caller-not-reading`,
+            `connection-closed` or `stopped`; the last two are the daemon's own doing.
+        stop: Phase of the daemon's planned stop at its end; empty while serving.
+        stop_elapsed_ms: Milliseconds since that stop began.
     """
 
     request_id: str
@@ -95,6 +99,36 @@
     configuration: int = 0
     proof_age_ms: float | None = None
     attempts: tuple[Attempt, ...] = ()
+    cancelled_by: str = ""
+    stop: str = ""
+    stop_elapsed_ms: float | None = None
+
+
+class ResponseUndelivered(Event, frozen=True, kw_only=True, tag="response_undelivered"):
+    """A response was ready, but its caller didn't get all of it.
+
+    Its `ended` line, if it has one, tells how the request itself ended.
+
+    Attributes:
+        request_id: Id of the request; empty if it has none.
+        service: Service that it was for; empty if unknown.
+        status: HTTP status of the response.
+        cause: Why it was not sent: `caller-hung-up`, `caller-not-reading`,
+            `connection-closed`, `body-incomplete` or `stopped`.
+        detail: The cause in words.
+        sent: `nothing`, or `part` if some bytes may have been sent.
+        stop: Phase of the daemon's planned stop; empty while serving.
+        stop_elapsed_ms: Milliseconds since that stop began.
+    """
+
+    request_id: str
+    service: str = ""
+    status: int
+    cause: str
+    detail: str
+    sent: str
+    stop: str = ""
+    stop_elapsed_ms: float | None = None
 
 
 class RequestGuarded(Event, frozen=True, kw_only=True, tag="guarded"):
@@ -165,6 +199,7 @@
 
 EVENTS: tuple[type[Event], ...] = (
     RequestEnded,
+    ResponseUndelivered,
     RequestGuarded,
     UpstreamEjected,
     LinesDropped,
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -127,6 +127,13 @@
     )
     for (service, host), count in decisions.routed.items():
         routed.set({"service": service, "host": host}, count)
+    unanswered = Counter(
+        "mangospoke_requests_unanswered_total",
+        "Requests that this daemon itself left without a response, by cause.",
+        registry=registry,
+    )
+    for (service, cause), count in decisions.unanswered.items():
+        unanswered.set({"service": service, "cause": cause.value}, count)
     ejections = Counter(
         "mangospoke_ejections_total",
         "Times that an upstream was left out of routing here.",
--- a/mangospoke/verdicts.py
+++ b/mangospoke/verdicts.py
@@ -52,6 +52,8 @@
     IDEMPOTENCY_STORE_FULL = "idempotency-store-full"
     NOT_CONFIGURED = "not-configured"
     CANCELLED = "cancelled"
+    CONNECTION_CLOSED = "connection-closed"
+    STOPPED = "stopped"
 
 
 class FailureReason(enum.Enum):
@@ -66,6 +68,8 @@
     MALFORMED_ANSWER = "malformed-answer"
     ANSWER_TOO_LARGE = "answer-too-large"
     CANCELLED = "cancelled"
+    CONNECTION_CLOSED = "connection-closed"
+    STOPPED = "stopped"
     REQUEST_BROKEN = "request-broken"
     EARLIER_ATTEMPT_IN_PROGRESS = "earlier-attempt-in-progress"
     EARLIER_ATTEMPT_UNKNOWN = "earlier-attempt-unknown"
@@ -133,6 +137,9 @@
     RefusalReason.IDEMPOTENCY_STORE_FULL: RefusalRule(503, retry_after_s=5),
     RefusalReason.NOT_CONFIGURED: RefusalRule(503, retry_after_s=1),
     RefusalReason.CANCELLED: RefusalRule(499),
+    # Requests that this daemon cancels get no response; the rules are for the log.
+    RefusalReason.CONNECTION_CLOSED: RefusalRule(503, retry_after_s=1),
+    RefusalReason.STOPPED: RefusalRule(503, retry_after_s=1),
 }
 
 RULES_BY_FAILURE: dict[FailureReason, FailureRule] = {
@@ -146,6 +153,8 @@
     FailureReason.CROSSED_ANSWER: FailureRule(502),
     FailureReason.MALFORMED_ANSWER: FailureRule(502),
     FailureReason.CANCELLED: FailureRule(499),
+    FailureReason.CONNECTION_CLOSED: FailureRule(502),
+    FailureReason.STOPPED: FailureRule(502),
     FailureReason.REQUEST_BROKEN: FailureRule(400),
     FailureReason.EARLIER_ATTEMPT_IN_PROGRESS: FailureRule(409),
     FailureReason.EARLIER_ATTEMPT_UNKNOWN: FailureRule(409),
