--- a/mangospoke/forensics/explanation.py
+++ b/mangospoke/forensics/explanation.py
@@ -10,9 +10,15 @@
 from mangospoke.forensics.sentences import (
     describe_request,
     describe_state_changes,
+    describe_stop,
+    describe_undelivered,
     describe_without_ingress,
 )
-from mangospoke.observability.events import RequestEnded, RequestGuarded
+from mangospoke.observability.events import (
+    RequestEnded,
+    RequestGuarded,
+    ResponseUndelivered,
+)
 
 _MIN_SERVER_ERROR_STATUS = 500
 
@@ -40,18 +46,35 @@
     ingress_records = _find_ingress_records(request_id, lines)
     ids = {request_id, *(ingress.event.request_id for ingress in ingress_records)}
     guarded_by_host = _group_guarded_by_host(ids, lines)
-    if not ingress_records and not guarded_by_host:
+    undelivered = _find_undelivered(request_id, lines)
+    if not ingress_records and not guarded_by_host and not undelivered:
         return Explanation((), "")
     offsets_s = estimate_offsets_s(lines)
     sentences: list[str] = []
     for ingress in ingress_records:
         sentences += describe_request(ingress, guarded_by_host, lines)
         sentences += describe_state_changes(ingress, lines, offsets_s)
-    if not ingress_records:
+    if guarded_by_host and not ingress_records:
         sentences += describe_without_ingress(guarded_by_host, lines)
-    return Explanation(
-        tuple(sentences), _find_cause(ingress_records, guarded_by_host, lines)
-    )
+    sentences += [describe_undelivered(line, event) for line, event in undelivered]
+    cause = _find_cause(ingress_records, guarded_by_host, lines)
+    if undelivered:
+        _, event = undelivered[-1]
+        lost = f"its response was not delivered: {event.detail}{describe_stop(event)}"
+        cause = f"{cause}; {lost}" if cause else lost
+    return Explanation(tuple(sentences), cause)
+
+
+def _find_undelivered(
+    request_id: str, lines: Iterable[LogLine]
+) -> list[tuple[LogLine, ResponseUndelivered]]:
+    """Returns the lines about responses to a request that were not delivered."""
+    return [
+        (line, line.typed_event)
+        for line in lines
+        if isinstance(line.typed_event, ResponseUndelivered)
+        and line.typed_event.request_id == request_id
+    ]
 
 
 def _find_ingress_records(
@@ -121,7 +144,8 @@
     else:
         reason = describe_cause(event.outcome, event.reason)
         cause = (
-            f"{event.reason}: {reason}{_describe_lost_response(event, guarded_by_host)}"
+            f"{event.reason}: {reason}{describe_stop(event)}"
+            f"{_describe_lost_response(event, guarded_by_host)}"
         )
     if not sub_calls:
         return cause
--- a/mangospoke/forensics/sentences.py
+++ b/mangospoke/forensics/sentences.py
@@ -11,6 +11,7 @@
     LinesDropped,
     RequestEnded,
     RequestGuarded,
+    ResponseUndelivered,
 )
 
 _CONTEXT_WINDOW = timedelta(seconds=5)
@@ -160,7 +161,27 @@
     detail = f" ({event.detail})" if event.detail else ""
     return (
         f"It was {event.outcome} after {event.elapsed_ms:.1f} ms and {ran}: "
-        f"{cause}{detail}.{retry_advice}"
+        f"{cause}{detail}{describe_stop(event)}.{retry_advice}"
+    )
+
+
+def describe_stop(event: RequestEnded | ResponseUndelivered) -> str:
+    """Describes the planned stop during which an event happened; empty without one."""
+    if not event.stop:
+        return ""
+    if event.stop_elapsed_ms is None:
+        return f", while the host's daemon was {event.stop}"
+    elapsed_s = event.stop_elapsed_ms / 1000
+    return f", {elapsed_s:.2f} s after a planned stop began there ({event.stop})"
+
+
+def describe_undelivered(line: LogLine, event: ResponseUndelivered) -> str:
+    """Describes that a response was ready and that its caller didn't get it."""
+    sent = "a part of it" if event.sent == "part" else "nothing"
+    return (
+        f"{_format_time(line.time)} {line.host}: its response with status "
+        f"{event.status} was ready, but {event.detail}{describe_stop(event)}; {sent} "
+        "was sent."
     )
 
 
--- a/tests/forensics/test_explanation.py
+++ b/tests/forensics/test_explanation.py
@@ -20,6 +20,7 @@
     LinesDropped,
     RequestEnded,
     RequestGuarded,
+    ResponseUndelivered,
 )
 from mangospoke.verdicts import RULES_BY_FAILURE, RULES_BY_REFUSAL
 
@@ -123,6 +124,45 @@
     assert "\n".join(explanation.sentences) == snapshot
 
 
+def test_a_request_that_the_daemon_cancelled_is_not_explained_by_its_caller():
+    ended = request_ended(
+        reason="stopped",
+        detail="this daemon ended",
+        cancelled_by="stopped",
+        stop="draining",
+        stop_elapsed_ms=4800.0,
+    )
+    explanation = explain_request("9c41", [parsed_line(ended)])
+    assert explanation.cause == (
+        "stopped: the host's daemon ended while it may have been running, 4.80 s "
+        "after a planned stop began there (draining)"
+    )
+    assert explanation.cause.partition(": ")[2] in explanation.sentences[-1].replace(
+        " (this daemon ended)", ""
+    )
+
+
+def test_a_response_that_was_ready_and_not_delivered_is_explained():
+    ended = request_ended(
+        outcome="answered", verdict="ran", reason="", detail="", status=200
+    )
+    undelivered = ResponseUndelivered(
+        request_id="9c41",
+        status=200,
+        cause="connection-closed",
+        detail="this daemon closed the connection",
+        sent="nothing",
+        stop="draining",
+        stop_elapsed_ms=2200.0,
+    )
+    lines = [parsed_line(ended), parsed_line(undelivered, at_s=0.1)]
+    explanation = explain_request("9c41", lines)
+    lost = "this daemon closed the connection, 2.20 s after a planned stop began there"
+    assert explanation.cause.endswith(f"not delivered: {lost} (draining)")
+    assert lost in explanation.sentences[-1]
+    assert explanation.sentences[-1].endswith("nothing was sent.")
+
+
 def test_a_refusal_within_the_rate_is_explained(snapshot):
     refused = request_ended(
         outcome="refused",
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from mangospoke.cancellation import CancelCause
 from mangospoke.daemon.operations import OperationsRequestHandler
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest
@@ -81,6 +82,14 @@
     assert values[key] == 7
 
 
+async def test_requests_that_the_daemon_left_unanswered_are_served_by_cause():
+    metrics = MetricsServer(make_status())
+    metrics.decisions.unanswered[("s", CancelCause.STOPPED)] = 3
+    values = await metrics.values()
+    key = 'mangospoke_requests_unanswered_total{cause="stopped",service="s"}'
+    assert values[key] == 3
+
+
 async def test_dropped_lines_and_loop_lag_are_served():
     metrics = MetricsServer(make_status())
     metrics.dropped_lines["ended/answered"] = 9
--- a/tests/observability/test_monitoring.py
+++ b/tests/observability/test_monitoring.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from mangospoke.cancellation import CancelCause
 from mangospoke.ids import HostId, ServiceName
 from mangospoke.observability.metrics import render_metrics
 from mangospoke.observability.status import (
@@ -31,6 +32,7 @@
     metrics = MetricsServer(status)
     metrics.dropped_lines["ended/answered"] = 1
     metrics.decisions.ejections[(ServiceName("s"), HostId("h"))] = 1
+    metrics.decisions.unanswered[(ServiceName("s"), CancelCause.STOPPED)] = 1
     for histograms in (
         metrics.decisions.latencies.request,
         metrics.decisions.latencies.queue,
