--- a/tests/ingress/test_hosted.py
+++ b/tests/ingress/test_hosted.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from mangospoke.cancellation import CancelCause
 from mangospoke.conf.declarations import Access, Importance
 from mangospoke.conf.effective import (
     Backend,
@@ -80,6 +81,8 @@
         self.freshness = Freshness(4.0, trio.current_time)
         self.dispatcher = FakeDispatcher()
         self.quota_refusal = None
+        self.quota_delay_s = 0.0
+        self.decisions = DecisionLog()
         self.returned_tokens = []
         self.downstream_delay_by_service = {}
         self.outcome = None
@@ -95,7 +98,7 @@
             self.returned_tokens.append,
             self.dispatcher,
             lambda service: self.downstream_delay_by_service.get(service, 0.0),
-            DecisionLog(),
+            self.decisions,
         )
 
     def _read_fields(self, request):
@@ -107,6 +110,7 @@
         return HttpResponse(200, [], buffered_body(b""))
 
     async def _quota(self, account):
+        await trio.sleep(self.quota_delay_s)
         return self.quota_refusal
 
     async def send(self, path, key="k"):
@@ -193,6 +197,23 @@
     assert isinstance(await harness.send("/inner/", key=None), Answered)
 
 
+async def test_a_request_cancelled_while_it_waits_for_a_token_is_recorded(harness):
+    harness.quota_delay_s = 1.0
+    with trio.move_on_after(0.5):
+        await harness.send("/open/1")
+    assert harness.dispatcher.calls == []
+    assert harness.decisions.unanswered == {("back", CancelCause.STOPPED): 1}
+    assert [key[3] for key in harness.decisions.outcomes] == ["stopped"]
+
+
+async def test_a_call_shares_the_cancellation_of_its_request(harness):
+    request = HttpRequest(b"GET", b"/open/1", [(b"key", b"k")], buffered_body(b""))
+    await harness.handler.handle(request)
+    (call,) = harness.dispatcher.calls
+    assert call.cancellation is request.cancellation
+    assert (request.request_id, request.service) == ("9c41", "back")
+
+
 async def test_token_of_a_request_that_did_not_run_is_returned(harness):
     harness.dispatcher.outcome = Refused(RefusalReason.QUEUE_FULL)
     await harness.send("/open/1")
--- a/tests/ingress/test_retries.py
+++ b/tests/ingress/test_retries.py
@@ -6,6 +6,7 @@
 import trio
 
 from mangospoke.calls import RetryAllowance
+from mangospoke.cancellation import CancelCause
 from mangospoke.http.bodies import buffered_body, streamed_body
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.logservice.records import UpstreamAnnounced
@@ -151,6 +152,32 @@
     assert verdict is Verdict.MAY_HAVE_RUN
 
 
+@pytest.mark.parametrize(
+    ("cause", "reason"),
+    [
+        (CancelCause.CALLER_HUNG_UP, "cancelled"),
+        (CancelCause.CALLER_NOT_READING, "cancelled"),
+        (CancelCause.CONNECTION_CLOSED, "connection-closed"),
+        (CancelCause.STOPPED, "stopped"),
+    ],
+)
+async def test_a_call_cancelled_while_it_is_dispatched_is_recorded_with_its_cause(
+    autojump_clock, cause, reason
+):
+    decisions = DecisionLog()
+
+    async def execute_call(_call, _allowance):
+        await trio.sleep_forever()
+
+    dispatcher = make_dispatcher(execute_call)
+    dispatcher._decisions = decisions
+    call = make_retried_call(RetryAllowance(1))
+    with trio.move_on_after(1):
+        call.cancellation.set_cause(cause)
+        await dispatcher.dispatch_and_record(call)
+    assert [key[3] for key in decisions.outcomes] == [reason]
+
+
 async def test_nothing_is_retried_after_the_deadline(autojump_clock):
     call = make_retried_call(RetryAllowance(5), deadline_s=0.001)
     assert await count_attempts(call, QUEUE_FULL) == 1
--- a/tests/observability/test_sink.py
+++ b/tests/observability/test_sink.py
@@ -7,10 +7,13 @@
 import trio
 from loguru import logger
 
-from mangospoke.calls import RetryAllowance
+from mangospoke.calls import RetryAllowance, SendStatus
+from mangospoke.cancellation import CancelCause, Cancellation, StopState
 from mangospoke.conf.declarations import Importance
 from mangospoke.conf.settings import LogFormat, Logging
 from mangospoke.http.bodies import buffered_body
+from mangospoke.http.delivery import UndeliveredResponse
+from mangospoke.http.messages import HttpRequest
 from mangospoke.observability import sink as sinks
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.observability.events import LogPriority
@@ -214,6 +217,109 @@
     }
 
 
+def cancelled_by(cause):
+    cancellation = Cancellation()
+    cancellation.set_cause(cause)
+    return cancellation
+
+
+@pytest.mark.parametrize(
+    ("cause", "reason", "is_counted"),
+    [
+        (CancelCause.CALLER_HUNG_UP, "cancelled", False),
+        (CancelCause.CALLER_NOT_READING, "cancelled", False),
+        (CancelCause.CONNECTION_CLOSED, "connection-closed", True),
+        (CancelCause.STOPPED, "stopped", True),
+    ],
+)
+@pytest.mark.parametrize("status", SendStatus)
+async def test_a_request_that_the_daemon_cancels_is_not_logged_as_its_callers_doing(
+    pipe, autojump_clock, cause, reason, is_counted, status
+):
+    logged = LoggedDecisions(pipe)
+    logged.decisions.read_stop_state = lambda: StopState("draining", 4.8)
+    call = make_booking(cancellation=cancelled_by(cause), send_status=status)
+    logged.decisions.record_cancellation(call)
+    (line,) = logged.lines()
+    assert (line["request_id"], line["reason"]) == ("9c41", reason)
+    assert (line["cancelled_by"], line["detail"]) == (
+        cause.value,
+        call.cancellation.detail,
+    )
+    assert (line["stop"], line["stop_elapsed_ms"]) == ("draining", 4800.0)
+    expected = "not-run" if status is SendStatus.UNSENT else "may-have-run"
+    assert line["verdict"] == expected
+    counts = {("bookings", cause): 1} if is_counted else {}
+    assert logged.decisions.unanswered == counts
+
+
+@pytest.mark.parametrize("cause", [CancelCause.CONNECTION_CLOSED, CancelCause.STOPPED])
+async def test_callers_that_leave_use_no_budget_of_what_the_daemon_cancelled(
+    pipe, autojump_clock, cause
+):
+    logged = LoggedDecisions(pipe)
+    for _ in range(MAX_LINES_PER_S[LogPriority.REFUSAL] + 10):
+        left = make_booking(cancellation=cancelled_by(CancelCause.CALLER_HUNG_UP))
+        logged.decisions.record_cancellation(left)
+    logged.decisions.record_cancellation(
+        make_booking(request_id="lost", cancellation=cancelled_by(cause))
+    )
+    ids = [line["request_id"] for line in logged.lines() if line["event"] == "ended"]
+    assert len(ids) == MAX_LINES_PER_S[LogPriority.REFUSAL] + 1
+    assert ids.count("lost") == 1
+
+
+async def test_a_request_cancelled_before_the_call_names_the_cause(
+    pipe, autojump_clock
+):
+    logged = LoggedDecisions(pipe)
+    logged.decisions.record_early_cancellation(
+        "acme", "bookings", Cancellation(), "9c41", 12
+    )
+    (line,) = logged.lines()
+    assert (line["request_id"], line["verdict"]) == ("9c41", "not-run")
+    assert (line["reason"], line["cancelled_by"]) == ("stopped", "stopped")
+    assert "stop" not in line
+    assert logged.decisions.unanswered == {("bookings", CancelCause.STOPPED): 1}
+
+
+@pytest.mark.parametrize(
+    ("cause", "is_counted"),
+    [
+        (CancelCause.CALLER_HUNG_UP, False),
+        (CancelCause.CALLER_NOT_READING, False),
+        (CancelCause.CONNECTION_CLOSED, True),
+        (CancelCause.BODY_INCOMPLETE, False),
+        (CancelCause.STOPPED, True),
+    ],
+)
+async def test_a_ready_response_that_is_not_written_leaves_a_line(
+    pipe, autojump_clock, cause, is_counted
+):
+    logged = LoggedDecisions(pipe)
+    logged.decisions.read_stop_state = lambda: StopState("draining", 2.2)
+    request = HttpRequest(
+        b"GET", b"/x", [], buffered_body(b""), cancelled_by(cause), "9c41", "bookings"
+    )
+    logged.decisions.record_undelivered(UndeliveredResponse(request, 200, False))
+    (line,) = logged.lines()
+    del line["time"]
+    assert line == {
+        "host_id": "h1",
+        "event": "response_undelivered",
+        "request_id": "9c41",
+        "service": "bookings",
+        "status": 200,
+        "cause": cause.value,
+        "detail": request.cancellation.detail,
+        "sent": "nothing",
+        "stop": "draining",
+        "stop_elapsed_ms": 2200.0,
+    }
+    counts = {("bookings", cause): 1} if is_counted else {}
+    assert logged.decisions.unanswered == counts
+
+
 async def test_a_refusal_before_the_call_names_the_request(pipe, autojump_clock):
     logged = LoggedDecisions(pipe)
     refused = Refused(RefusalReason.OVER_RATE, "over its rate of 20/s", 0.4)
--- a/tests/peers/test_pool.py
+++ b/tests/peers/test_pool.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from mangospoke.calls import RetryAllowance
+from mangospoke.cancellation import CancelCause
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
@@ -147,6 +148,25 @@
             await cancelled.wait()
 
 
+async def test_a_call_whose_peer_hung_up_is_not_blamed_on_this_daemon():
+    cancelled = trio.Event()
+    causes = []
+
+    async def wait(call):
+        try:
+            await trio.sleep_forever()
+        finally:
+            causes.append(call.cancellation.cause)
+            cancelled.set()
+
+    async with connected_pool(wait) as (pool, _, address, _):
+        with trio.move_on_after(0.2):
+            await pool.execute(address, make_pool_call(), 0)
+        with trio.fail_after(10):
+            await cancelled.wait()
+    assert causes == [CancelCause.CALLER_HUNG_UP]
+
+
 async def test_a_lost_connection_leaves_the_call_unanswered():
     async with connected_pool(answer) as (pool, peer, address, _):
 
