--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -109,6 +109,7 @@
         host_incarnation, claim_groups, control, guard.execute
     )
     shutdown = Shutdown()
+    decisions.read_stop_state = shutdown.state
     dispatcher = Dispatcher(
         settings.host.id,
         at_most_once.execute,
@@ -154,7 +155,11 @@
             log.sink.dropped_lines,
         ),
         connections=ConnectionContext(
-            settings.limits, WorkCounter(), HangUpMonitor(), shutdown
+            settings.limits,
+            WorkCounter(),
+            HangUpMonitor(),
+            decisions.record_undelivered,
+            shutdown,
         ),
         rates=rates,
     )
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -157,6 +157,7 @@
         )
         self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
+        self.decisions.read_stop_state = shutdown.state
         retries = guarantees.retries
         dispatcher = Dispatcher(
             settings.host.id,
@@ -196,7 +197,11 @@
             self.registrar.handle_heartbeat
         )
         self.connections = ConnectionContext(
-            settings.limits, WorkCounter(), HangUpMonitor(), shutdown
+            settings.limits,
+            WorkCounter(),
+            HangUpMonitor(),
+            self.decisions.record_undelivered,
+            shutdown,
         )
         self.operations = OperationsRequestHandler(
             lambda: read_hosted_status(self),
--- /dev/null
+++ b/mangospoke/http/complete_bodies.py
@@ -0,0 +1,61 @@
+"""Streamed bodies that are read into memory before their response is sent."""
+
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+from loguru import logger
+
+from mangospoke.http import fields
+from mangospoke.http.bodies import IncompleteBodyError, buffered_body, streamed_body
+from mangospoke.http.messages import HttpResponse
+from mangospoke.verdicts import FailureReason, Verdict
+
+MAX_HELD_BODY_BYTES = 1_048_576
+"""Size up to which a streamed body is read into memory."""
+
+
+async def with_complete_body(response: HttpResponse) -> HttpResponse:
+    """Returns a response with its body read into memory; an error if it breaks off.
+
+    A body that is too large for that stays streamed.
+    """
+    body = response.body
+    if body.length is not None and body.length > MAX_HELD_BODY_BYTES:
+        return response
+    held: list[bytes] = []
+    size = 0
+    chunks = body.chunks()
+    try:
+        async for chunk in chunks:
+            held.append(chunk)
+            size += len(chunk)
+            if size > MAX_HELD_BODY_BYTES:
+                rest = streamed_body(_chain(held, chunks), body.length)
+                return replace(response, body=rest)
+    except IncompleteBodyError as error:
+        return _broken_body_response(str(error))
+    if body.length is not None and size != body.length:
+        return _broken_body_response(f"{size} of {body.length} bytes were received")
+    return replace(response, body=buffered_body(b"".join(held)))
+
+
+async def _chain(
+    held: list[bytes], chunks: AsyncIterator[bytes]
+) -> AsyncIterator[bytes]:
+    for chunk in held:
+        yield chunk
+    async for chunk in chunks:
+        yield chunk
+
+
+def _broken_body_response(detail: str) -> HttpResponse:
+    logger.bind(event="response_broken", detail=detail).warning(
+        "a response broke off before it was sent to the caller: {}", detail
+    )
+    reason = FailureReason.TRUNCATED_ANSWER.value.encode()
+    headers = [
+        (b"content-type", b"text/plain"),
+        (fields.VERDICT, Verdict.RAN.value.encode()),
+        (fields.REASON, reason),
+    ]
+    return HttpResponse(502, headers, buffered_body(reason + b"\n"))
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -1,20 +1,19 @@
 """Server side of HTTP/1.1: serves the requests of each accepted connection."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass, field
 
 import h11
 import trio
 from loguru import logger
 
+from mangospoke.cancellation import CancelCause, Cancellation
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http import fields
-from mangospoke.http.bodies import (
-    IncompleteBodyError,
-    buffered_body,
-    streamed_body,
-)
+from mangospoke.http.bodies import buffered_body
+from mangospoke.http.complete_bodies import with_complete_body
+from mangospoke.http.delivery import UndeliveredResponse, ignore_undelivered
 from mangospoke.http.listener import ConnectionHandler
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.reading import (
@@ -27,7 +26,7 @@
 from mangospoke.idle import WorkCounter
 from mangospoke.shutdown import Shutdown
 from mangospoke.streams import Stream
-from mangospoke.verdicts import FailureReason, Verdict
+from mangospoke.verdicts import Verdict
 
 RequestHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -42,9 +41,6 @@
 
 _SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
-_MAX_HELD_BODY_BYTES = 1_048_576
-"""Size up to which a streamed body is held back while other requests run behind it."""
-
 _LINGERING_CLOSE_S = 2.0
 """How long input is discarded after the last response, before the close."""
 
@@ -57,6 +53,7 @@
         limits: Size limits and timeouts of requests.
         work: Counts the requests in progress, so that a planned stop waits for them.
         hang_ups: Cancels the requests of callers that closed their connection.
+        record_undelivered: Records a response that the caller didn't get completely.
         shutdown: Interrupts the requests of peers at the end of a shutdown.
         closing: Counts the connections whose last response may still be on its way.
     """
@@ -64,6 +61,7 @@
     limits: Limits
     work: WorkCounter
     hang_ups: HangUpMonitor
+    record_undelivered: Callable[[UndeliveredResponse], None] = ignore_undelivered
     shutdown: Shutdown = field(default_factory=Shutdown)
     closing: WorkCounter = field(default_factory=WorkCounter)
 
@@ -103,14 +101,18 @@
     """The position of one request's response in the order of its connection.
 
     Attributes:
+        cancellation: Cause for which the request is cancelled.
         finished: Set once the response is written, so that the next one may be.
         previous: The response before it, until that is known to be finished.
         is_streamed: Whether its body is not complete yet, so that it may break off.
     """
 
-    __slots__ = ("finished", "is_streamed", "previous")
+    __slots__ = ("cancellation", "finished", "is_streamed", "previous")
 
-    def __init__(self, previous: "_PendingResponse | None") -> None:
+    def __init__(
+        self, cancellation: Cancellation, previous: "_PendingResponse | None"
+    ) -> None:
+        self.cancellation = cancellation
         self.finished = trio.Event()
         self.previous = previous
         self.is_streamed = False
@@ -124,12 +126,14 @@
 
     def count_unfinished_before(self) -> int:
         """Returns the number of earlier responses that are not finished."""
-        count = 0
-        response = self.previous
-        while response is not None and not response.finished.is_set():
-            count += 1
-            response = response.previous
-        return count
+        return sum(1 for _ in _unfinished(self.previous))
+
+
+def _unfinished(response: _PendingResponse | None) -> Iterator[_PendingResponse]:
+    """Yields the unfinished responses up to the given one, the latest first."""
+    while response is not None and not response.finished.is_set():
+        yield response
+        response = response.previous
 
 
 class _ServerConnection:
@@ -175,8 +179,17 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
             ):
+                self._record_hang_up()
                 nursery.cancel_scope.cancel()
 
+    def _record_hang_up(self) -> None:
+        self._set_cause(CancelCause.CALLER_HUNG_UP)
+
+    def _set_cause(self, cause: CancelCause) -> None:
+        """Sets why all requests in progress on this connection are cancelled."""
+        for response in _unfinished(self._last_response):
+            response.cancellation.set_cause(cause)
+
     async def _start_request(self, cycle: RequestCycle, nursery: trio.Nursery) -> bool:
         """Reads a request, starts it, and returns whether to read another."""
         request = await read_request(cycle, self._is_idle)
@@ -188,7 +201,9 @@
             # the connection, and knows that it has not run.
             await self._wait_for_earlier_responses()
             return False
-        response = self._last_response = _PendingResponse(self._last_response)
+        response = self._last_response = _PendingResponse(
+            request.cancellation, self._last_response
+        )
         if not self._detect_pipelining(cycle):
             await self._serve_sequentially(
                 cycle, request, response, nursery.cancel_scope
@@ -217,7 +232,7 @@
         connection_scope: trio.CancelScope,
     ) -> None:
         """Serves a request without reading further ones in the meantime."""
-        with self._context.hang_ups.watch(self.stream):
+        with self._context.hang_ups.watch(self.stream, self._record_hang_up):
             await self._serve_request(cycle, request, response, connection_scope)
             self._check_early_input()
             return
@@ -252,7 +267,7 @@
 
     async def _wait_until_finished(self, response: _PendingResponse) -> None:
         """Waits until a response is written, without reading further requests."""
-        with self._context.hang_ups.watch(self.stream):
+        with self._context.hang_ups.watch(self.stream, self._record_hang_up):
             await response.finished.wait()
             return
         raise CallerDisconnectedError
@@ -268,10 +283,7 @@
         try:
             with self._context.work:
                 response = await _run_handler(self._handler, request)
-                async with response.body:
-                    await self._write_in_order(
-                        cycle, request, response, pending_response
-                    )
+                await self._deliver(cycle, request, response, pending_response)
         except (
             CallerDisconnectedError,
             trio.BrokenResourceError,
@@ -287,8 +299,34 @@
         # close is needed.
         is_last = http.their_state is h11.MUST_CLOSE
         self.needs_lingering_close = http.our_state is not h11.ERROR and not is_last
+        self._set_cause(CancelCause.CONNECTION_CLOSED)
         connection_scope.cancel()
 
+    async def _deliver(
+        self,
+        cycle: RequestCycle,
+        request: HttpRequest,
+        response: HttpResponse,
+        pending_response: _PendingResponse,
+    ) -> None:
+        """Writes a response in its turn; records it if it can't be written."""
+        is_written = False
+        try:
+            async with response.body:
+                await self._write_in_order(cycle, request, response, pending_response)
+                is_written = cycle.http.our_state is not h11.ERROR
+                if not is_written:
+                    request.cancellation.set_cause(CancelCause.BODY_INCOMPLETE)
+        except Exception as error:
+            self._set_cause(_cause_of(error))
+            raise
+        finally:
+            if not is_written:
+                is_started = cycle.http.our_state is not h11.SEND_RESPONSE
+                self._context.record_undelivered(
+                    UndeliveredResponse(request, response.status, is_started)
+                )
+
     async def _write_in_order(
         self,
         cycle: RequestCycle,
@@ -302,7 +340,7 @@
         if response.body.content is None:
             pending_response.is_streamed = True
             if pending_response is not self._last_response:
-                response = await _with_complete_body(response)
+                response = await with_complete_body(response)
         await pending_response.wait_for_previous()
         is_last = pending_response is self._last_response
         response.closes_connection = self._is_closing and is_last
@@ -316,6 +354,15 @@
         self.needs_lingering_close = True
 
 
+def _cause_of(error: Exception) -> CancelCause:
+    """Returns why an error that occurred while writing cancels a connection."""
+    if isinstance(error, CallerDisconnectedError):
+        return CancelCause.CALLER_NOT_READING
+    if isinstance(error, trio.BrokenResourceError | trio.ClosedResourceError):
+        return CancelCause.CALLER_HUNG_UP
+    return CancelCause.CONNECTION_CLOSED
+
+
 async def _discard_input(stream: Stream) -> None:
     """Lets a caller that is still sending read its response before the close.
 
@@ -328,53 +375,6 @@
             pass
 
 
-async def _with_complete_body(response: HttpResponse) -> HttpResponse:
-    """Returns a response with its body read into memory; an error if it breaks off.
-
-    A body that is too large for that stays streamed.
-    """
-    body = response.body
-    if body.length is not None and body.length > _MAX_HELD_BODY_BYTES:
-        return response
-    held: list[bytes] = []
-    size = 0
-    chunks = body.chunks()
-    try:
-        async for chunk in chunks:
-            held.append(chunk)
-            size += len(chunk)
-            if size > _MAX_HELD_BODY_BYTES:
-                rest = streamed_body(_chain(held, chunks), body.length)
-                return replace(response, body=rest)
-    except IncompleteBodyError as error:
-        return _broken_body_response(str(error))
-    if body.length is not None and size != body.length:
-        return _broken_body_response(f"{size} of {body.length} bytes were received")
-    return replace(response, body=buffered_body(b"".join(held)))
-
-
-async def _chain(
-    held: list[bytes], chunks: AsyncIterator[bytes]
-) -> AsyncIterator[bytes]:
-    for chunk in held:
-        yield chunk
-    async for chunk in chunks:
-        yield chunk
-
-
-def _broken_body_response(detail: str) -> HttpResponse:
-    logger.bind(event="response_broken", detail=detail).warning(
-        "a response broke off before it was sent to the caller: {}", detail
-    )
-    reason = FailureReason.TRUNCATED_ANSWER.value.encode()
-    headers = [
-        (b"content-type", b"text/plain"),
-        (fields.VERDICT, Verdict.RAN.value.encode()),
-        (fields.REASON, reason),
-    ]
-    return HttpResponse(502, headers, buffered_body(reason + b"\n"))
-
-
 async def _run_handler(handler: RequestHandler, request: HttpRequest) -> HttpResponse:
     """Runs the handler; an unexpected exception becomes a 500 response."""
     try:
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -140,7 +140,7 @@
     frames: FrameStream, call: Call, execute: Executor, context: ConnectionContext
 ) -> Outcome | None:
     """Executes a call; returns None if the peer closes the connection meanwhile."""
-    with context.hang_ups.watch(frames.stream):
+    with context.hang_ups.watch(frames.stream, call.cancellation.record_hang_up):
         return await context.shutdown.execute(call, execute)
     return None
 
--- a/mangospoke/shutdown.py
+++ b/mangospoke/shutdown.py
@@ -7,6 +7,7 @@
 import trio
 
 from mangospoke.calls import Call
+from mangospoke.cancellation import SERVING, StopState
 from mangospoke.verdicts import (
     FailureReason,
     Outcome,
@@ -53,9 +54,11 @@
         """Whether new requests are refused."""
         return self.phase in (ShutdownPhase.REFUSING, ShutdownPhase.INTERRUPTING)
 
-    def elapsed_s(self) -> float:
-        """Returns the seconds since the shutdown began; 0 while serving."""
-        return trio.current_time() - self._started_at if self.is_draining else 0.0
+    def state(self) -> StopState:
+        """Returns the phase and the time since the shutdown began, for the log."""
+        if not self.is_draining:
+            return SERVING
+        return StopState(self.phase.value, trio.current_time() - self._started_at)
 
     def start(self) -> None:
         """Begins the shutdown: callers are asked to connect to another host."""
@@ -98,5 +101,5 @@
 def _outcome_of_interrupted(call: Call) -> Outcome:
     if call.may_have_run:
         detail = "the host stopped before the response arrived"
-        return Unanswered(FailureReason.HOST_STOPPED, detail)
+        return Unanswered(FailureReason.STOPPED, detail)
     return Refused(RefusalReason.DRAINING, "the host stopped before it was sent")
--- a/tests/daemon/test_stopping.py
+++ b/tests/daemon/test_stopping.py
@@ -57,7 +57,7 @@
         self.shutdown = Shutdown()
         self.work = WorkCounter()
         self.connections = ConnectionContext(
-            Limits(), self.work, HangUpMonitor(), self.shutdown
+            Limits(), self.work, HangUpMonitor(), shutdown=self.shutdown
         )
         self.acceptor = FakeAcceptor()
         self.outcomes = []
@@ -119,7 +119,7 @@
     assert unsent.verdict is Verdict.NOT_RUN
     assert unsent.reason is RefusalReason.DRAINING
     assert sent.verdict is Verdict.MAY_HAVE_RUN
-    assert sent.reason is FailureReason.HOST_STOPPED
+    assert sent.reason is FailureReason.STOPPED
     assert SCHEDULE.interrupt_s <= daemon.stopped_after_s < SCHEDULE.exit_s
 
 
