A response before the end of an upload gets through a peer

What callers saw: 502 for a large upload (over 256 KiB, or chunked beyond it) whose upstream on another host answered before it had read the body, or which that host refused, although a response or a refusal had been given.

Cause: the daemon that forwards a streamed body sent all of it before it read the response, and the other one closed the connection with unread input, which resets it. The write failed, and that became `peer-connection-lost`.

Evidence: a trial with an upload of 2.6 MB and a response after the first chunk ended `Unanswered(PEER_CONNECTION_LOST, Broken pipe)`.

Why it works: the response is read while the body is sent, as towards upstreams, and the other side discards what still comes before it closes. The connection is closed as soon as the response is whole, so that nothing waits.

--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass
 
 import trio
+from loguru import logger
 
 from mangospoke.calls import Call, SendStatus
 from mangospoke.conf.settings import split_address
-from mangospoke.http.bodies import IncompleteBodyError
+from mangospoke.http.bodies import Body, IncompleteBodyError
 from mangospoke.peers.bodies import received_body, send_chunks
 from mangospoke.peers.framing import (
     FrameStream,
@@ -23,6 +24,7 @@
 from mangospoke.peers.messages import (
     Ended,
     EndKind,
+    Frame,
     Load,
     Question,
     Reply,
@@ -142,6 +144,9 @@
             raise
         if is_reusable:
             self._release(address, connection)
+        elif not isinstance(outcome, Answered) or outcome.body.content is not None:
+            # A streamed response closes the connection itself once it has been read.
+            await connection.frames.aclose()
         return outcome
 
     async def send_control_request(self, address: str, content: bytes) -> bytes:
@@ -223,8 +228,9 @@
         call.send_status = SendStatus.SENT
         await frames.send(head)
         if call.body.content is None:
-            await send_chunks(frames, call.body)
-        response = await frames.receive()
+            response = await _receive_while_sending(frames, call.body)
+        else:
+            response = await frames.receive()
         expect(response, ResponseHead, Ended)
         assert isinstance(response, ResponseHead | Ended)
         if response.request_id != call.request_id:
@@ -297,6 +303,34 @@
     )
 
 
+async def _receive_while_sending(frames: FrameStream, body: Body) -> Frame:
+    """Sends a streamed body and receives the response, which may precede its end."""
+    errors: list[Exception] = []
+    response: Frame | None = None
+    async with trio.open_nursery() as nursery:
+
+        async def send() -> None:
+            try:
+                await send_chunks(frames, body)
+            except IncompleteBodyError as error:
+                errors.append(error)
+                nursery.cancel_scope.cancel()
+            except PeerUnavailableError as error:
+                # The peer may have sent a response before it closed its side.
+                logger.bind(event="peer_upload_cut").debug("{}", error)
+
+        nursery.start_soon(send)
+        try:
+            response = await frames.receive()
+        except (PeerUnavailableError, PeerProtocolError) as error:
+            errors.append(error)
+        nursery.cancel_scope.cancel()
+    if errors:
+        raise errors[0]
+    assert response is not None
+    return response
+
+
 def _outcome_of(ended: Ended, call: Call) -> Outcome:
     if ended.kind == EndKind.REFUSED:
         # A refusal means that no byte of the request has reached an upstream.
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -34,6 +34,9 @@
 from mangospoke.streams import Stream
 from mangospoke.verdicts import Answered, Outcome, Refused
 
+_LINGERING_CLOSE_S = 2.0
+"""How long input is discarded after the last response, before the close."""
+
 Executor = Callable[[Call], Awaitable[Outcome]]
 LoadReader = Callable[[], Load]
 ControlHandler = Callable[[bytes], Awaitable[bytes]]
@@ -70,7 +73,8 @@
             await accept_handshake(frames, identity)
         while await _serve_next(frames, execute, read_load, context, handle_control):
             pass
-    except PeerUnavailableError:
+        await _discard_input(stream)
+    except (PeerUnavailableError, trio.BrokenResourceError):
         return
     except (PeerProtocolError, trio.TooSlowError) as error:
         logger.bind(event="peer_rejected").warning(
@@ -80,6 +84,18 @@
         stream.close()
 
 
+async def _discard_input(stream: Stream) -> None:
+    """Lets a peer that is still sending a body read the response before the close.
+
+    Closing a socket with unread input resets the connection, which can discard a
+    response that the peer has not read yet.
+    """
+    stream.send_eof()
+    with trio.move_on_after(_LINGERING_CLOSE_S):
+        while await stream.receive_some():
+            pass
+
+
 async def _serve_next(
     frames: FrameStream,
     execute: Executor,
--- a/tests/peers/test_pool.py
+++ b/tests/peers/test_pool.py
@@ -2,13 +2,14 @@
 
 from contextlib import asynccontextmanager
 
+import pytest
 import trio
 import trio.testing
 
 from mangospoke.calls import RetryAllowance
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
-from mangospoke.http.bodies import buffered_body
+from mangospoke.http.bodies import buffered_body, streamed_body
 from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
 from mangospoke.peers import server as peer_server
@@ -125,6 +126,28 @@
     assert remaining_s[1] > 1.0
 
 
+@pytest.mark.parametrize("interval_s", [0.0, 0.01])
+async def test_a_response_before_the_end_of_an_upload_is_returned(interval_s):
+    async def answer_early(call):
+        async for _ in call.body.chunks():
+            break
+        return await answer(call)
+
+    async def chunks():
+        for _ in range(60):
+            yield b"x" * 65_536
+            await trio.sleep(interval_s)
+
+    async with connected_pool(answer_early) as (pool, peer, address, _):
+        call = make_pool_call()
+        call.body = streamed_body(chunks(), 60 * 65_536)
+        outcome = await pool.execute(address, call, 0)
+        assert isinstance(outcome, Answered)
+        assert outcome.body.content == b"done"
+        assert isinstance(await pool.execute(address, make_pool_call(), 0), Answered)
+        assert peer.accepted_count == 2
+
+
 async def test_only_unused_retries_are_returned():
     async def use_one_retry(call):
         call.retries.take(1)
