Ignore further signals of a daemon that is shutting down

Operators saw: exit status -15 of a daemon that got SIGTERM twice, without its last lines and without closing its connections. Cause: a signal that is still queued when trio's receiver is closed takes its default action, and the receiver was closed as soon as the shutdown was over. Evidence: the test fails on the code before (status not 0) and passes now. Change: signals that arrive during the shutdown are read and logged.

--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -1,7 +1,7 @@
 """Graceful shutdown: no new requests are accepted, and accepted ones are answered."""
 
 import signal
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -63,10 +63,22 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             break
-        await shut_down(read_schedule(), steps, connections)
+        async with trio.open_nursery() as nursery:
+            # Signals that are still queued when the receiver is closed would take
+            # their default action and kill the process.
+            nursery.start_soon(_ignore_signals, signals)
+            await shut_down(read_schedule(), steps, connections)
+            nursery.cancel_scope.cancel()
         scope.cancel()
 
 
+async def _ignore_signals(signals: AsyncIterator[int]) -> None:
+    async for number in signals:
+        logger.bind(event="signal_ignored", signal=number).info(
+            "already shutting down; signal {} changes nothing", number
+        )
+
+
 async def shut_down(
     schedule: ShutdownSchedule,
     steps: ShutdownSteps,
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -130,6 +130,18 @@
     assert fleet.front.process.exit_status == 0
 
 
+async def test_a_second_signal_does_not_kill_a_daemon_that_is_stopping(fleet):
+    for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
+        os.kill(fleet.front.process.pid, number)
+        await trio.sleep(0.2)
+
+    async def has_exited():
+        return not fleet.front.process.is_running
+
+    await wait_until(has_exited, "the exit of the process", 6.0)
+    assert fleet.front.process.exit_status == 0
+
+
 async def test_a_killed_daemon_restores_its_state_from_the_store(fleet):
     for daemon in fleet.daemons_by_service.values():
         os.kill(daemon.process.pid, signal.SIGKILL)
