Begin the idle timeout of a connection with its last response

A request that crosses the close is unread, so that no answer is lost, but it has to be sent again. Cause: while requests ran, the timer went on from the last read, and the connection was closed as soon as it expired after the last response. Change: when the timer expires it is set anew from the time of the last response.

--- a/mangospoke/http/reading.py
+++ b/mangospoke/http/reading.py
@@ -108,20 +108,21 @@
 
 
 async def read_request(
-    cycle: RequestCycle, is_idle: Callable[[], bool]
+    cycle: RequestCycle, read_idle_since: Callable[[], float | None]
 ) -> HttpRequest | None:
     """Reads the next request; None if the caller sends no further one.
 
     Args:
         cycle: The cycle of the request to read.
-        is_idle: Returns whether all earlier requests have been answered.
+        read_idle_since: Returns the time on trio's clock, in seconds, at which the
+            last earlier request was answered; None while one isn't.
 
     Raises:
         CallerDisconnectedError: If the caller closed the connection inside a request.
         BadRequestError: If the request is invalid, too large or too slow.
     """
     if not cycle.http.trailing_data[0]:
-        content = await _wait_for_input(cycle, is_idle)
+        content = await _wait_for_input(cycle, read_idle_since)
         if not content:
             return None
         cycle.http.receive_data(content)
@@ -146,15 +147,23 @@
         raise BadRequestError(HEAD_TOO_LARGE_STATUS, "the head is too large")
 
 
-async def _wait_for_input(cycle: RequestCycle, is_idle: Callable[[], bool]) -> bytes:
+async def _wait_for_input(
+    cycle: RequestCycle, read_idle_since: Callable[[], float | None]
+) -> bytes:
     """Waits for bytes of the next request; empty once the connection times out.
 
-    The idle timeout doesn't close the connection while requests are in progress.
+    The idle timeout begins with the last response. While requests are in progress, it
+    doesn't close the connection.
     """
+    timeout_s = cycle.limits.idle_timeout_ms / 1000
+    expires_at = trio.current_time() + timeout_s
     while True:
-        with trio.move_on_after(cycle.limits.idle_timeout_ms / 1000):
+        with trio.move_on_at(expires_at):
             return await cycle.stream.receive_some()
-        if is_idle():
+        now = trio.current_time()
+        idle_since = read_idle_since()
+        expires_at = (now if idle_since is None else idle_since) + timeout_s
+        if expires_at <= now:
             return b""
 
 
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -103,20 +103,27 @@
     Attributes:
         cancellation: Cause for which the request is cancelled.
         finished: Set once the response is written, so that the next one may be.
+        finished_at: When that was, in seconds on trio's clock; None before.
         previous: The response before it, until that is known to be finished.
         is_streamed: Whether its body is not complete yet, so that it may break off.
     """
 
-    __slots__ = ("cancellation", "finished", "is_streamed", "previous")
+    __slots__ = ("cancellation", "finished", "finished_at", "is_streamed", "previous")
 
     def __init__(
         self, cancellation: Cancellation, previous: "_PendingResponse | None"
     ) -> None:
         self.cancellation = cancellation
         self.finished = trio.Event()
+        self.finished_at: float | None = None
         self.previous = previous
         self.is_streamed = False
 
+    def finish(self) -> None:
+        """Lets the next response be written."""
+        self.finished_at = trio.current_time()
+        self.finished.set()
+
     async def wait_for_previous(self) -> None:
         """Waits until this response may be written."""
         # Waiting for an event that is already set would still yield to the scheduler.
@@ -161,6 +168,7 @@
         self._context = context
         self._last_response: _PendingResponse | None = None
         self._last_method_is_safe = True
+        self._accepted_at = trio.current_time()
         self._is_closing = False
         self._is_pipelining = False
         self._pipelining_checks_left = _PIPELINING_CHECKS
@@ -192,7 +200,7 @@
 
     async def _start_request(self, cycle: RequestCycle, nursery: trio.Nursery) -> bool:
         """Reads a request, starts it, and returns whether to read another."""
-        request = await read_request(cycle, self._is_idle)
+        request = await read_request(cycle, self._read_idle_since)
         if request is None:
             raise CallerDisconnectedError
         await self._wait_for_conflicting_requests(request)
@@ -244,8 +252,11 @@
             self._pipelining_checks_left -= 1
             self._is_pipelining = self.stream.has_input()
 
-    def _is_idle(self) -> bool:
-        return self._last_response is None or self._last_response.finished.is_set()
+    def _read_idle_since(self) -> float | None:
+        """Returns when the last request was answered; None while one isn't."""
+        if self._last_response is None:
+            return self._accepted_at
+        return self._last_response.finished_at
 
     async def _wait_for_conflicting_requests(self, request: HttpRequest) -> None:
         """Lets a request overlap with earlier ones only if all methods are safe.
@@ -293,7 +304,7 @@
             return
         http = cycle.http
         if http.our_state is h11.DONE and http.their_state is h11.DONE:
-            pending_response.finished.set()
+            pending_response.finish()
             return
         # A caller that requested the close sends nothing more, so that no lingering
         # close is needed.
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -193,3 +193,25 @@
             await stream.send_all(encode_get(b"/a") + encode_get(b"/b"))
             await trio.testing.wait_all_tasks_blocked(0.02)
     assert sorted(cancelled) == ["/a", "/b"]
+
+
+async def test_the_idle_timeout_of_a_pipelining_caller_begins_with_its_last_response(
+    autojump_clock,
+):
+    async def handler(request):
+        await trio.sleep(0.9)
+        return HttpResponse(200, [], buffered_body(b"ok"))
+
+    caller_socket, server_socket = trio.socket.socketpair()
+    limits = Limits(idle_timeout_ms=1_000)
+    context = ConnectionContext(limits, WorkCounter(), HangUpMonitor())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_connection, Stream(server_socket), handler, context)
+        async with trio.SocketStream(caller_socket) as stream:
+            await stream.send_all(GET_REQUEST + GET_REQUEST)
+            await trio.sleep(1.5)
+            await stream.send_all(GET_REQUEST)
+            await trio.sleep(1.0)
+            received = await stream.receive_some()
+            assert received.count(b"HTTP/1.1 200") == 3
+            assert await stream.receive_some() == b""
