--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -2,6 +2,8 @@
 
 import os
 import signal
+import subprocess
+import sys
 
 import pytest
 import trio
@@ -130,6 +132,25 @@
     assert fleet.front.process.exit_status == 0
 
 
+def test_a_reload_request_during_the_start_does_not_end_the_process():
+    # Importing trio is the first slow step of the start.
+    script = """
+import runpy, signal, sys
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "trio":
+            print(signal.getsignal(signal.SIGHUP).name)
+            sys.stdout.flush()
+            raise SystemExit(0)
+sys.meta_path.insert(0, Finder())
+runpy.run_module("mangospoke.platform", run_name="__main__")
+"""
+    finished = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    )
+    assert finished.stdout.strip() == "SIG_IGN"
+
+
 async def test_a_second_signal_does_not_kill_a_daemon_that_is_stopping(fleet):
     for number in (signal.SIGTERM, signal.SIGTERM, signal.SIGINT):
         os.kill(fleet.front.process.pid, number)
