Keep a daemon of an own deployment running when it gets SIGHUP

Callers would have seen: all requests cut at once. Evidence: the new test fails on the code before (the daemon isn't running) and passes. Change: the signal is ignored from the start; a line says that the settings are read at the start only.

--- a/mangospoke/bench/processes.py
+++ b/mangospoke/bench/processes.py
@@ -74,6 +74,10 @@
         """Asks it to stop."""
         self._started().send_signal(signal.SIGTERM)
 
+    def hang_up(self) -> None:
+        """Sends it the signal of a closed terminal, which some take as a reload."""
+        self._started().send_signal(signal.SIGHUP)
+
     def kill(self) -> None:
         """Ends it at once."""
         self._started().send_signal(signal.SIGKILL)
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -1,5 +1,6 @@
 """Main loop of a daemon: supervised services and listeners."""
 
+import signal
 from collections.abc import Sequence
 
 import trio
@@ -57,6 +58,7 @@
                 supervise, "hang-up monitor", daemon.connections.hang_ups.run
             )
             nursery.start_soon(supervise, "log", log.sink.run)
+            nursery.start_soon(supervise, "reload requests", _log_reload_requests)
             nursery.start_soon(supervise, "loop lag", daemon.lag.run)
             nursery.start_soon(supervise, "peer connections", daemon.peers.run)
             nursery.start_soon(supervise, "prober", lambda: _probe(daemon))
@@ -144,6 +146,15 @@
     return ShutdownSteps(announcer.drain, acceptors, finish)
 
 
+async def _log_reload_requests() -> None:
+    """Logs SIGHUP, which changes nothing."""
+    with trio.open_signal_receiver(signal.SIGHUP) as signals:
+        async for _ in signals:
+            logger.bind(event="reload_ignored").warning(
+                "the settings are read at the start only; restart to apply changes"
+            )
+
+
 async def _probe(daemon: Daemon) -> None:
     is_alive = make_control_probe(daemon.fleet, daemon.control)
     await probe_ejected_hosts(daemon.ejector, is_alive)
--- a/mangospoke/management/commands/daemon.py
+++ b/mangospoke/management/commands/daemon.py
@@ -1,5 +1,6 @@
 """`mangospoke daemon`: run the daemon of one host."""
 
+import signal
 import sys
 from pathlib import Path
 
@@ -20,6 +21,8 @@
     Args:
         settings: The host's settings file.
     """
+    # The default action of SIGHUP ends the process with all its requests.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     loaded = load_settings(settings)
     messages = run_settings_checks(HostSettings(loaded))
     for message in messages:
--- a/tests/integration/test_planned_stop.py
+++ b/tests/integration/test_planned_stop.py
@@ -34,6 +34,16 @@
         assert await host.daemon.wait() == 0
 
 
+async def test_a_reload_request_cuts_no_request(start_fleet):
+    fleet, key = await start_admitted(start_fleet, small_fleet(services=(BACK,)))
+    (host,) = fleet.hosts_by_id.values()
+    host.daemon.hang_up()
+    await trio.sleep(0.5)
+    assert host.daemon.is_running
+    async with open_client([host.addresses.public], key) as client:
+        assert (await client.call("POST", "/batches")).status == 200
+
+
 async def test_a_rolling_restart_under_load_cuts_nothing(start_fleet):
     small = small_fleet(domains=("a", "b"), services=(BACK,), hosts_per_domain=2)
     fleet, key = await start_admitted(start_fleet, small)
