Read the daemons' status through protocols, not through the daemons' modules

status.py was imported by the two modules whose types it named, a circle that only worked with imports for type checkers. It now names the components that it reads. Whether a daemon is draining has one source, the phase of its shutdown, in both kinds.

--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -1,14 +1,18 @@
 """Builds the status that daemons report at their operations address."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 import msgspec
 
+from mangospoke.conf.settings import Settings
 from mangospoke.guard.guard import Guard
+from mangospoke.guard.poison import QuarantineController
+from mangospoke.http.server import ConnectionContext
+from mangospoke.ids import ServiceName
 from mangospoke.logservice.calls import LogTransport
+from mangospoke.logservice.client import LogClient
 from mangospoke.observability.decisions import DecisionLog
+from mangospoke.observability.overload import OverloadDetector
 from mangospoke.observability.status import (
     DaemonStatus,
     LogCallCount,
@@ -16,17 +20,13 @@
     OutcomeCount,
     UpstreamStatus,
 )
+from mangospoke.peers.handshake import Identity
+from mangospoke.rates.borrowing import BorrowedRates
+from mangospoke.rates.service import Rates
 from mangospoke.rates.status import read_shares
-
-if TYPE_CHECKING:
-    from mangospoke.conf.settings import Settings
-    from mangospoke.daemon.assembly import Daemon
-    from mangospoke.daemon.hosted import HostedDaemon
-    from mangospoke.guard.poison import QuarantineController
-    from mangospoke.ids import ServiceName
-    from mangospoke.observability.overload import OverloadDetector
-    from mangospoke.peers.handshake import Identity
-    from mangospoke.state.fleet import Fleet
+from mangospoke.state.fleet import Fleet
+from mangospoke.state.freshness import Freshness
+from mangospoke.state.subsystem import StateSubsystem
 
 
 class _AnyDaemon(Protocol):
@@ -39,14 +39,29 @@
     guard: Guard
     quarantine: QuarantineController
     overload: OverloadDetector
+    connections: ConnectionContext
+
+
+class _StandaloneDaemon(_AnyDaemon, Protocol):
+    """Components of a daemon that replicates the log itself."""
+
+    log_client: LogClient
+    rates: Rates
+    state: StateSubsystem
+
+
+class _PlatformDaemon(_AnyDaemon, Protocol):
+    """Components of a daemon that runs on a platform."""
+
+    log_calls: LogTransport
+    rates: BorrowedRates
+    freshness: Freshness
 
 
-def read_status(daemon: Daemon) -> DaemonStatus:
-    """Builds the status of a daemon."""
+def read_status(daemon: _StandaloneDaemon) -> DaemonStatus:
+    """Builds the status of a daemon that replicates the log itself."""
     return msgspec.structs.replace(
-        _build_common_status(
-            daemon, daemon.connections.shutdown.is_draining, daemon.log_client.health()
-        ),
+        _build_common_status(daemon, daemon.log_client.health()),
         offsets=_read_offsets(daemon.fleet),
         shares=read_shares(daemon.rates, daemon.fleet.configuration),
         grantor_state=daemon.rates.grantor.state.value,
@@ -54,21 +69,17 @@
     )
 
 
-def read_hosted_status(daemon: HostedDaemon) -> DaemonStatus:
+def read_hosted_status(daemon: _PlatformDaemon) -> DaemonStatus:
     """Builds the status of a hosted daemon."""
     return msgspec.structs.replace(
-        _build_common_status(
-            daemon, daemon.registrar.stopping, daemon.log_calls.health()
-        ),
+        _build_common_status(daemon, daemon.log_calls.health()),
         tokens=daemon.rates.statuses(),
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
     )
 
 
-def _build_common_status(
-    daemon: _AnyDaemon, draining: bool, log: LogHealth
-) -> DaemonStatus:
+def _build_common_status(daemon: _AnyDaemon, log: LogHealth) -> DaemonStatus:
     return DaemonStatus(
         host_id=daemon.identity.host_id,
         failure_domain=daemon.identity.failure_domain,
@@ -79,7 +90,7 @@
         upstreams_known=_count_upstreams(daemon.fleet),
         upstream=_read_upstream_status(daemon.guard),
         outcomes=_count_outcomes(daemon.decisions),
-        draining=draining,
+        draining=daemon.connections.shutdown.is_draining,
         log=log,
         quarantines=daemon.quarantine.statuses(),
         overloads=daemon.overload.statuses(),
