--- a/tests/platform/hosted_fleet.py
+++ b/tests/platform/hosted_fleet.py
@@ -27,12 +27,16 @@
 
 
 def build_configuration(version, *, keys=(KEY,), rate=0, timeout="2s", service="back"):
-    """Builds a configuration with two routes that need a key and one without."""
+    """Builds a configuration with two routes that need a key and two without.
+
+    All of them lead to `service` but `/leaf/`, which leads to the front's upstream.
+    """
     tenant = {"name": "acme", "apiKeys": list(keys), "ratePerS": rate, "burst": rate}
     rules = [
         build_rule("open", "/open/", service, timeout, "safe", public=False),
         build_rule("booking", "/book/", service, timeout, "unsafe", public=False),
         build_rule("inner", "/inner/", service, timeout, "safe", public=True),
+        build_rule("leaf", "/leaf/", "front", timeout, "safe", public=True),
     ]
     state = {
         "version": f"r{version}",
@@ -83,7 +87,7 @@
 class HostedDaemonProcess:
     """A daemon process and its addresses."""
 
-    def __init__(self, number, ip, upstream, store_address, directory):
+    def __init__(self, number, ip, upstream, store_address, directory, bounds=()):
         self.upstream = upstream
         self.outbound, self.inbound, self.ready, self.control = (
             f"{ip}:{port}" for port in LISTEN_PORTS
@@ -105,6 +109,7 @@
             "bootstrap": True,
             "platform": {"address": store_address},
             "unknown": {"to": "us"},
+            "bounds": list(bounds),
         }
         path = Path(directory) / f"machine-{number}.json"
         path.write_bytes(msgspec.json.encode(settings))
@@ -117,11 +122,11 @@
         os.environ["MANGOSPOKE_FLEET_SECRET"] = "secret"
         self.process.start()
 
-    async def send_heartbeat(self, sequence=1, state="ready", born=1):
+    async def send_heartbeat(self, sequence=1, state="ready", born=1, slots=10):
         body = {
             "address": self.upstream.address,
             "born": born,
-            "info": {"service": self.upstream.service, "slots": 10},
+            "info": {"service": self.upstream.service, "slots": slots},
             "status": {"state": state, "seq": sequence, "coldLeft": "0ms"},
         }
         target = f"/instances/{self.upstream.instance}"
@@ -185,8 +190,27 @@
 
 
 @asynccontextmanager
-async def run_hosted_fleet(directory, version=1, **settings):
-    """Runs one daemon for each service until the block ends."""
+async def run_hosted_fleet(
+    directory,
+    version=1,
+    *,
+    services=SERVICES,
+    make_upstream=Upstream,
+    slots=10,
+    bounds=(),
+    **settings,
+):
+    """Runs one daemon for each service until the block ends.
+
+    Args:
+        directory: Where the settings files and logs are written.
+        version: Version of the configuration.
+        services: The services; each has one daemon.
+        make_upstream: Makes the fake upstream of a service.
+        slots: Requests that each upstream says it runs at once.
+        bounds: The bounds in the settings files, each `name=value`.
+        settings: What else the configuration says.
+    """
     store = FakeStore()
     fleet = HostedFleet(store)
     # Each daemon has its own IP address: a free port of a shared one may be taken
@@ -195,17 +219,19 @@
         async with trio.open_nursery() as nursery:
             address = await nursery.start(serve_http, store.handle)
             store.put("keyed.op", "config", build_configuration(version, **settings))
-            for number, service in enumerate(SERVICES):
-                upstream = Upstream(service)
+            for number, service in enumerate(services):
+                upstream = make_upstream(service)
                 upstream.address = await nursery.start(serve_http, upstream.handle)
                 ip = network.host_ip(number)
-                daemon = HostedDaemonProcess(number, ip, upstream, address, directory)
+                daemon = HostedDaemonProcess(
+                    number, ip, upstream, address, directory, bounds
+                )
                 fleet.daemons_by_service[service] = daemon
                 daemon.start()
             try:
                 for daemon in fleet.daemons_by_service.values():
                     await wait_until(daemon.is_ready, "a ready daemon")
-                    assert (await daemon.send_heartbeat()).status == 200
+                    assert (await daemon.send_heartbeat(slots=slots)).status == 200
                 await wait_until(
                     lambda: serves_requests(fleet), "the first successful response"
                 )
