Tests: requests in the queue of the host that stops are answered as not run

Callers whose requests waited in the queue of the daemon that stops saw a closed connection, or a 502 where another host took them, though it was known that they had not run.

--- a/tests/platform/test_stop_under_load.py
+++ b/tests/platform/test_stop_under_load.py
@@ -155,6 +155,26 @@
     assert [sent.status for sent in queued] == [503] * 4
 
 
+@pytest.mark.parametrize("entry", ["front", "back"])
+async def test_requests_in_the_queue_of_the_host_that_stops_get_a_503(entry, tmp_path):
+    slow = Request("/inner/n?work=9", key=None)
+    async with run_fleet(tmp_path, SHORT_GRACE_S, slots=2) as fleet:
+        journal = Journal()
+        address = fleet.daemons_by_service[entry].outbound
+        async with trio.open_nursery() as nursery:
+            for _ in range(6):
+                nursery.start_soon(send_once, journal, address, slow)
+            await trio.sleep(0.4)
+            stop = Stop(trio.current_time(), SHORT_GRACE_S)
+            send_signal(fleet.back, signal.SIGTERM)
+            await wait_for_exit(fleet.back, stop)
+        runs = fleet.back.upstream.runs
+    received = {run.attempt_id for run in runs}
+    queued = [s for s in journal.sent_by_id.values() if s.attempt_id not in received]
+    check_nothing_lost(journal, runs, stop)
+    assert [sent.status for sent in queued] == [503] * 4
+
+
 async def test_a_queue_that_moves_until_the_end_loses_no_request(tmp_path):
     slow = [Request("/inner/n?work=0.5", key=None) for _ in range(24)]
     async with run_fleet(tmp_path, SHORT_GRACE_S, slots=2) as fleet:
