A late response that comes alone no longer fails the request behind it

Callers got 502 malformed-answer where an upstream sent a late response to an earlier request and the own one only afterwards. Cause: the discarded response left no bytes over, and handing empty bytes to h11 says that the connection has ended. Evidence: the new test, which failed with ResponseMalformedError; the test that was there sends both responses in one piece, which leaves bytes over. Now nothing is handed on if there is nothing.

--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -165,7 +165,9 @@
             h11.Request(method=method, target=b"/", headers=_PLACEHOLDER_HEADERS)
         )
         self._h11.send(h11.EndOfMessage())
-        self._h11.receive_data(received)
+        if received:
+            # Empty bytes would tell h11 that the upstream closed the connection.
+            self._h11.receive_data(received)
         return True
 
     def _start_request(
--- a/tests/http/test_dialling.py
+++ b/tests/http/test_dialling.py
@@ -2,6 +2,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.client import (
@@ -121,3 +122,16 @@
     await pair.upstream.aclose()
     with pytest.raises(ResponseMissingError):
         await pair.exchange()
+
+
+async def test_a_late_response_that_comes_alone_does_not_end_the_exchange(pair):
+    async def respond():
+        await pair.upstream.send_all(encode_response(b"late", "other"))
+        await trio.testing.wait_all_tasks_blocked()
+        await pair.upstream.send_all(encode_response(b"own"))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(respond)
+        response = await pair.exchange()
+    assert response.body.content == b"own"
+    assert pair.connection.is_reusable()
