Informational and late responses without end no longer last until the deadline

An upstream that sends 1xx responses or late responses of other requests without end held its request, slot and connection until the deadline, and the daemon parsed all of it. Cause: both loops of the HTTP client had no bound. Now 16 of each may precede a response; one more is a malformed answer, or one with another request's id.

--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -19,6 +19,12 @@
 _MAX_SEND_FIRST_BYTES = 16_384
 """Request bodies up to this size are sent in full before the response is read."""
 
+_MAX_INFORMATIONAL_RESPONSES = 16
+"""Responses with a 1xx status that may precede a response."""
+
+_MAX_DISCARDED_RESPONSES = 16
+"""Late responses to earlier requests that are discarded before a response."""
+
 _PLACEHOLDER_HEADERS = [(b"host", b"any")]
 
 
@@ -80,7 +86,7 @@
                 larger ones are streamed.
             belongs_to_request: Returns whether a response belongs to this request. A
                 complete response that doesn't is discarded: it is a late response to
-                an earlier request.
+                an earlier request. After too many of them, the last one is returned.
 
         Raises:
             ResponseMissingError: If the connection ended before the response head.
@@ -140,9 +146,13 @@
         belongs_to_request: Callable[[HttpResponse], bool],
     ) -> HttpResponse:
         response = await self._read_response(buffered_body_bytes)
-        while not belongs_to_request(response) and self._discard_response(
-            method, response
-        ):
+        discarded_count = 0
+        while not belongs_to_request(response):
+            if discarded_count == _MAX_DISCARDED_RESPONSES:
+                break
+            if not self._discard_response(method, response):
+                break
+            discarded_count += 1
             response = await self._read_response(buffered_body_bytes)
         if method == b"HEAD":
             # The length is that of the body that a GET would return.
@@ -231,14 +241,20 @@
         self._h11.receive_data(content)
 
     async def _read_response(self, buffered_body_bytes: int) -> HttpResponse:
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next_event()
-        if not isinstance(head, h11.Response):
-            raise ResponseMissingError("the upstream closed the connection")
+        head = await self._read_final_head()
         body = await self._read_body(head, buffered_body_bytes)
         return HttpResponse(head.status_code, list(head.headers), body)
 
+    async def _read_final_head(self) -> h11.Response:
+        """Reads heads up to one that isn't informational."""
+        for _ in range(_MAX_INFORMATIONAL_RESPONSES + 1):
+            head = await self._next_event()
+            if isinstance(head, h11.Response):
+                return head
+            if not isinstance(head, h11.InformationalResponse):
+                raise ResponseMissingError("the upstream closed the connection")
+        raise ResponseMalformedError("too many informational responses")
+
     async def _read_body(self, head: h11.Response, buffered_body_bytes: int) -> Body:
         length = _content_length(head.headers)
         if length is not None and length > buffered_body_bytes:
