Bytes that can't become a response are malformed at once, however slow

An upstream that trickles bytes that are no HTTP/1 response, such as another protocol's greeting, held its request until the deadline: h11 parses a status line only once the whole head is there. Now the first seven bytes of each head are compared with what every response begins with, and the call ends as malformed-answer.

--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -25,6 +25,9 @@
 _MAX_DISCARDED_RESPONSES = 16
 """Late responses to earlier requests that are discarded before a response."""
 
+_RESPONSE_START = b"HTTP/1."
+"""First bytes of every response."""
+
 _PLACEHOLDER_HEADERS = [(b"host", b"any")]
 
 
@@ -65,6 +68,7 @@
         self._is_closed = False
         self._is_sending = False
         self._received_eof = False
+        self._is_start_checked = False
 
     async def exchange(
         self,
@@ -226,8 +230,18 @@
                 raise ResponseMalformedError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
+            if not self._is_start_checked:
+                self._check_response_start()
             await self._receive()
 
+    def _check_response_start(self) -> None:
+        """Rejects bytes that can't become a response, however slowly they arrive."""
+        received, _ = self._h11.trailing_data
+        start = received[: len(_RESPONSE_START)]
+        if not _RESPONSE_START.startswith(start):
+            raise ResponseMalformedError("the bytes aren't an HTTP/1 response")
+        self._is_start_checked = len(start) == len(_RESPONSE_START)
+
     async def _receive(self) -> None:
         if self._received_eof:
             raise ResponseMissingError("the upstream closed the connection")
@@ -248,7 +262,9 @@
     async def _read_final_head(self) -> h11.Response:
         """Reads heads up to one that isn't informational."""
         for _ in range(_MAX_INFORMATIONAL_RESPONSES + 1):
+            self._is_start_checked = False
             head = await self._next_event()
+            self._is_start_checked = True
             if isinstance(head, h11.Response):
                 return head
             if not isinstance(head, h11.InformationalResponse):
--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -74,6 +74,16 @@
         await call(script)
 
 
+@pytest.mark.parametrize("content", [b"x", b"SSH-2.0", b"\x15\x03\x01", b"HTTP/2"])
+async def test_trickled_garbage_is_malformed_at_its_first_bytes(call, content):
+    async def script(upstream, stream):
+        await stream.send_all(content)
+        await trio.sleep(LONG_S)
+
+    with pytest.raises(ResponseMalformedError):
+        await call(script)
+
+
 @pytest.mark.parametrize(
     "repeated",
     [
