A body in tiny chunks no longer keeps other requests waiting

A body in chunks of one byte is ten thousand events in one read of 64 KiB. The client parsed them without a turn for other tasks (0.1 s in which no other request moved, again and again while such a body goes on) and passed each on with a write of its own (200,000 bytes took 200,000 writes). Now other tasks run after every 64 chunks, and chunks that are there together are passed on together.

--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -25,6 +25,9 @@
 _MAX_DISCARDED_RESPONSES = 16
 """Late responses to earlier requests that are discarded before a response."""
 
+_MAX_CHUNKS_PER_TURN = 64
+"""Chunks of a body that are parsed, in half a millisecond, before other tasks run."""
+
 _RESPONSE_START = b"HTTP/1."
 """First bytes of every response."""
 
@@ -222,18 +225,22 @@
 
     async def _next_event(self) -> object:
         while True:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as error:
-                if self._received_eof:
-                    raise ResponseMissingError(str(error)) from error
-                raise ResponseMalformedError(str(error)) from error
+            event = self._parse_event()
             if event is not h11.NEED_DATA:
                 return event
             if not self._is_start_checked:
                 self._check_response_start()
             await self._receive()
 
+    def _parse_event(self) -> object:
+        """Returns the next event in the bytes received so far, or `NEED_DATA`."""
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._received_eof:
+                raise ResponseMissingError(str(error)) from error
+            raise ResponseMalformedError(str(error)) from error
+
     def _check_response_start(self) -> None:
         """Rejects bytes that can't become a response, however slowly they arrive."""
         received, _ = self._h11.trailing_data
@@ -278,35 +285,53 @@
         chunks: list[bytes] = []
         size = 0
         while size <= buffered_body_bytes:
-            event = await self._next_body_event()
-            if isinstance(event, h11.EndOfMessage):
+            chunk = await self._next_body_part()
+            if not chunk:
                 return buffered_body(b"".join(chunks))
-            if not isinstance(event, h11.Data):
-                raise ResponseTruncatedError("the upstream closed the connection")
-            chunks.append(bytes(event.data))
-            size += len(event.data)
+            chunks.append(chunk)
+            size += len(chunk)
         return streamed_body(self._body_chunks(chunks), length, self.aclose)
 
-    async def _next_body_event(self) -> object:
+    async def _next_body_part(self) -> bytes:
+        """Waits for a part of the body; empty at the body's end.
+
+        Chunks that have been received are returned as one part: an upstream may send
+        chunks of a byte, and each part costs a write to the caller.
+        """
         try:
-            return await self._next_event()
+            return await self._join_received_chunks()
         except (ResponseMissingError, ResponseMalformedError) as error:
             raise ResponseTruncatedError(str(error)) from error
 
+    async def _join_received_chunks(self) -> bytes:
+        chunks: list[bytes] = []
+        chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
+        while self._h11.their_state is h11.SEND_BODY:
+            event = self._parse_event()
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+                chunks_until_checkpoint -= 1
+            elif event is h11.NEED_DATA:
+                if chunks:
+                    break
+                await self._receive()
+            if not chunks_until_checkpoint:
+                await trio.lowlevel.checkpoint()
+                chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
+        return b"".join(chunks)
+
     async def _body_chunks(self, read_chunks: list[bytes]) -> AsyncIterator[bytes]:
         """Yields the chunks already read, then the rest from the connection."""
         for chunk in read_chunks:
             yield chunk
         while True:
             try:
-                event = await self._next_body_event()
+                chunk = await self._next_body_part()
             except ResponseTruncatedError as error:
                 raise IncompleteBodyError(str(error)) from error
-            if isinstance(event, h11.EndOfMessage):
+            if not chunk:
                 return
-            if not isinstance(event, h11.Data):
-                raise IncompleteBodyError("the upstream closed the connection")
-            yield bytes(event.data)
+            yield chunk
 
     def is_reusable(self) -> bool:
         """Prepares the connection for another request; False if it can't be reused."""
--- a/tests/http/test_endless_bytes.py
+++ b/tests/http/test_endless_bytes.py
@@ -5,9 +5,11 @@
 
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.client import (
+    HttpConnection,
     ResponseMalformedError,
     open_connection,
 )
+from mangospoke.streams import Stream
 from tests.harness.raw_upstreams import RawUpstream
 
 MAX_HEAD_BYTES = 8_192
@@ -114,3 +116,70 @@
 
     response, _ = await call(script)
     assert not is_mine(response)
+
+
+async def test_trailers_without_end_break_off(call):
+    async def script(upstream, stream):
+        await stream.send_all(CHUNKED_HEAD + CHUNK + b"0\r\n")
+        await upstream.flood(stream, b"X-Trailer: x\r\n")
+
+    with pytest.raises(Exception, match="too long"):
+        await call(script)
+
+
+async def preloaded(content):
+    """Returns a connection whose upstream has already sent its bytes."""
+    client_socket, upstream_socket = trio.socket.socketpair()
+    upstream = trio.SocketStream(upstream_socket)
+    await upstream.send_all(content)
+    return HttpConnection(Stream(client_socket), MAX_HEAD_BYTES), upstream
+
+
+async def test_a_block_of_tiny_chunks_lets_other_tasks_run(nursery):
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await trio.lowlevel.checkpoint()
+            turns += 1
+
+    content = CHUNKED_HEAD + TINY_CHUNK * 10_000 + b"0\r\n\r\n"
+    connection, _ = await preloaded(content)
+    nursery.start_soon(count_turns)
+    response = await exchange(connection)
+    assert len(response.body.content) == 10_000
+    assert turns > 100
+
+
+async def test_streamed_tiny_chunks_are_passed_on_together(nursery):
+    async def script(upstream, stream):
+        await stream.send_all(CHUNKED_HEAD + TINY_CHUNK * 200_000 + b"0\r\n\r\n")
+
+    upstream = await nursery.start(RawUpstream(script).run)
+    connection = await open_connection(upstream.address, MAX_HEAD_BYTES, 1.0)
+    chunks = []
+    with trio.fail_after(LONG_S):
+        async with (await exchange(connection)).body as body:
+            async for chunk in body.chunks():
+                chunks.append(chunk)
+    assert len(b"".join(chunks)) == 200_000
+    assert len(chunks) < 10_000
+
+
+async def test_bytes_after_a_complete_streamed_body_belong_to_no_request(nursery):
+    size = BUFFERED_BYTES + 1
+
+    async def script(upstream, stream):
+        await stream.send_all(
+            b"HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: %d\r\n\r\n" % size
+        )
+        await upstream.flood(stream, b"y" * size)
+
+    upstream = await nursery.start(RawUpstream(script).run)
+    connection = await open_connection(upstream.address, MAX_HEAD_BYTES, 1.0)
+    with trio.fail_after(SOON_S):
+        async with (await exchange(connection)).body as body:
+            received = b"".join([chunk async for chunk in body.chunks()])
+        await upstream.ended.wait()
+    assert received == b"y" * size
