A streamed response ends at its request's deadline and at the size limit

A body that is chunked or has no length, and that the upstream goes on sending, was passed on for ever: the deadline ended with the head, so the slot, the connection and the caller were held until the caller left. A caller that didn't read held them for the 10 s of head_timeout_ms.

Now a streamed response body carries its request's deadline, and whoever passes it on (to a caller, or as frames to another daemon) stops then: no end of the body is sent and the connection is closed. The deadline holds whoever is slow. The users' rules count a request as held past its route's timeout either way, and its caller doesn't wait longer. The daemon that the request entered at has the same bounds, 50 ms later, for a peer that doesn't keep them. Either one logs response_broken_off with the request's id and the cause.

--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -97,6 +97,7 @@
         settings.fleet.translate,
         balancer.record_load,
         balancer.record_one_way_delay,
+        settings.limits.body_bytes,
     )
     quarantine = QuarantineController(
         settings.host.id, fleet, control, guard.accepts_connections
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -148,7 +148,11 @@
             settings.host.id, domain, incarnation, settings.fleet.secret
         )
         self.peers = PeerConnectionPool(
-            self.identity, {}, balancer.record_load, balancer.record_one_way_delay
+            self.identity,
+            {},
+            balancer.record_load,
+            balancer.record_one_way_delay,
+            settings.limits.body_bytes,
         )
         self.control = PeerControlChannel(self.peers)
         self.quarantine = QuarantineController(
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -15,8 +15,9 @@
 from mangospoke.guard.fair_queue import Slot
 from mangospoke.guard.hints import POLL_INTERVAL_S, poll_hints
 from mangospoke.guard.poison import QuarantineController
-from mangospoke.guard.upstream import UpstreamConnectionPool, with_close_callback
+from mangospoke.guard.upstream import UpstreamConnectionPool
 from mangospoke.http.client import ConnectError, open_connection
+from mangospoke.http.response_streams import bounded_response_body
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
 from mangospoke.state.fleet import Fleet
@@ -232,8 +233,12 @@
             completion = _completion_of(outcome)
             if isinstance(outcome, Answered) and outcome.body.content is None:
                 completion = Completion.STREAMING
-                outcome.body = with_close_callback(
-                    outcome.body, self._make_slot_releaser(slot)
+                outcome.body = bounded_response_body(
+                    outcome.body,
+                    call.request_id,
+                    call.deadline,
+                    self._limits.body_bytes,
+                    self._make_slot_releaser(slot),
                 )
             return outcome
         finally:
--- a/mangospoke/guard/upstream.py
+++ b/mangospoke/guard/upstream.py
@@ -1,7 +1,6 @@
 """Pooled connections to the local upstream, and the execution of calls over them."""
 
 import math
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -14,7 +13,6 @@
     UpstreamDialect,
     UpstreamReport,
 )
-from mangospoke.http.bodies import Body, streamed_body
 from mangospoke.http.client import (
     ConnectError,
     HttpConnection,
@@ -183,6 +181,9 @@
             return Unanswered(FailureReason.CROSSED_ANSWER, detail)
         if exchange.metadata.report is not None:
             self.report = exchange.metadata.report
+        if _is_too_large(response, self._limits.body_bytes):
+            detail = f"the body is declared as {response.body.length} bytes"
+            return Unanswered(FailureReason.ANSWER_TOO_LARGE, detail)
         return _outcome_of(
             response, exchange.metadata, call, self._dialect.internal_fields
         )
@@ -211,6 +212,13 @@
     return max(0.0, metadata.idle_timeout_s - _IDLE_MARGIN_S)
 
 
+def _is_too_large(response: HttpResponse, max_body_bytes: int) -> bool:
+    """Whether a streamed body is declared to be larger than allowed."""
+    length = response.body.length
+    is_streamed = response.body.content is None
+    return is_streamed and length is not None and length > max_body_bytes
+
+
 def _outcome_of(
     response: HttpResponse,
     metadata: ResponseMetadata,
@@ -230,13 +238,3 @@
         return Unanswered(FailureReason.MALFORMED_ANSWER, detail)
     headers = [pair for pair in response.headers if pair[0] not in internal_fields]
     return Answered(response.status, headers, response.body)
-
-
-def with_close_callback(body: Body, on_close: Callable[[], None]) -> Body:
-    """Wraps a body as a streamed body that calls `on_close` when it is closed."""
-
-    async def close_and_notify() -> None:
-        await body.aclose()
-        on_close()
-
-    return streamed_body(body.chunks(), body.length, close_and_notify)
--- a/mangospoke/http/bodies.py
+++ b/mangospoke/http/bodies.py
@@ -1,11 +1,15 @@
 """Message bodies, either buffered in memory or streamed."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from types import TracebackType
 
+import trio
+
 
 class IncompleteBodyError(Exception):
-    """A streamed body ended early, or exceeded the size limit."""
+    """A streamed body ended early, or exceeded its size limit or its deadline."""
 
 
 async def _no_release() -> None:
@@ -21,9 +25,11 @@
     Attributes:
         content: The complete body, or None if it is streamed.
         length: The length in bytes, or None if it is not known in advance.
+        deadline: Time on trio's clock, in seconds, by which a streamed body must have
+            been passed on.
     """
 
-    __slots__ = ("_chunks", "_release", "content", "length")
+    __slots__ = ("_chunks", "_release", "content", "deadline", "length")
 
     def __init__(
         self,
@@ -31,9 +37,11 @@
         length: int | None,
         chunks: AsyncIterator[bytes] | None = None,
         release: Callable[[], Awaitable[None]] = _no_release,
+        deadline: float = math.inf,
     ) -> None:
         self.content = content
         self.length = length
+        self.deadline = deadline
         self._chunks = chunks
         self._release = release
 
@@ -77,6 +85,7 @@
     chunks: AsyncIterator[bytes],
     length: int | None,
     release: Callable[[], Awaitable[None]] = _no_release,
+    deadline: float = math.inf,
 ) -> Body:
     """Creates a body whose chunks can be read once.
 
@@ -84,5 +93,19 @@
         chunks: The chunks; raises `IncompleteBodyError` if the body ends early.
         length: The length in bytes, or None if it is not known in advance.
         release: Called once, when the body is closed.
+        deadline: Time on trio's clock, in seconds, by which it must be passed on.
+    """
+    return Body(None, length, chunks, release, deadline)
+
+
+@contextmanager
+def until_deadline(body: Body) -> Iterator[None]:
+    """Ends a block that passes a streamed body on at the body's deadline.
+
+    Raises:
+        IncompleteBodyError: If the deadline ended the block.
     """
-    return Body(None, length, chunks, release)
+    with trio.move_on_at(body.deadline) as scope:
+        yield
+    if scope.cancelled_caught:
+        raise IncompleteBodyError("the deadline of its request passed")
--- a/mangospoke/http/writing.py
+++ b/mangospoke/http/writing.py
@@ -3,7 +3,7 @@
 import h11
 
 from mangospoke.http import fields
-from mangospoke.http.bodies import Body, IncompleteBodyError
+from mangospoke.http.bodies import Body, IncompleteBodyError, until_deadline
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.reading import (
     BODY_TOO_LARGE_STATUS,
@@ -49,9 +49,10 @@
 async def _write_streamed_body(cycle: RequestCycle, body: Body) -> None:
     http = cycle.http
     try:
-        async for chunk in body.chunks():
-            await cycle.send(http.send(h11.Data(data=chunk)) or b"")
-        await cycle.send(http.send(h11.EndOfMessage()) or b"")
+        with until_deadline(body):
+            async for chunk in body.chunks():
+                await cycle.send(http.send(h11.Data(data=chunk)) or b"")
+            await cycle.send(http.send(h11.EndOfMessage()) or b"")
     except (IncompleteBodyError, h11.LocalProtocolError):
         # The missing end tells the caller that the body is incomplete.
         http.send_failed()
--- a/mangospoke/peers/bodies.py
+++ b/mangospoke/peers/bodies.py
@@ -7,6 +7,7 @@
     IncompleteBodyError,
     buffered_body,
     streamed_body,
+    until_deadline,
 )
 from mangospoke.peers.framing import (
     FrameStream,
@@ -22,13 +23,15 @@
     """Sends a streamed body as chunk frames and an end frame.
 
     Raises:
-        IncompleteBodyError: If the source of the body ended before the body did.
+        IncompleteBodyError: If the source of the body ended before the body did, or the
+            body's deadline passed.
         PeerUnavailableError: If the peer closed the connection.
     """
-    async for chunk in body.chunks():
-        for start in range(0, len(chunk), _MAX_CHUNK_BYTES):
-            await frames.send(BodyChunk(chunk[start : start + _MAX_CHUNK_BYTES]))
-    await frames.send(BodyEnd())
+    with until_deadline(body):
+        async for chunk in body.chunks():
+            for start in range(0, len(chunk), _MAX_CHUNK_BYTES):
+                await frames.send(BodyChunk(chunk[start : start + _MAX_CHUNK_BYTES]))
+        await frames.send(BodyEnd())
 
 
 async def _receive_chunks(frames: FrameStream) -> AsyncIterator[bytes]:
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -6,8 +6,9 @@
 import trio
 
 from mangospoke.calls import Call, SendStatus
-from mangospoke.conf.settings import split_address
-from mangospoke.http.bodies import IncompleteBodyError
+from mangospoke.conf.settings import Limits, split_address
+from mangospoke.http.bodies import Body, IncompleteBodyError
+from mangospoke.http.response_streams import bounded_response_body
 from mangospoke.peers.bodies import received_body, send_chunks
 from mangospoke.peers.framing import (
     FrameStream,
@@ -80,6 +81,7 @@
         translate: Addresses to connect to, by advertised address, where they differ.
         observe_load: Called with the load in each response.
         observe_one_way_delay: Called with the one-way delay of each new connection.
+        max_body_bytes: Maximum size of a response body.
     """
 
     def __init__(
@@ -88,11 +90,13 @@
         translate: dict[str, str],
         observe_load: LoadObserver,
         observe_one_way_delay: DelayObserver,
+        max_body_bytes: int = Limits().body_bytes,
     ) -> None:
         self._identity = identity
         self._translate = translate
         self._observe_load = observe_load
         self._observe_one_way_delay = observe_one_way_delay
+        self._max_body_bytes = max_body_bytes
         self._idle_by_address: dict[str, list[_PeerConnection]] = {}
 
     async def execute(self, address: str, call: Call, retries: int) -> Outcome:
@@ -226,10 +230,22 @@
         self._observe_load(address, response.load)
         if isinstance(response, Ended):
             return _outcome_of(response, call), call.body.content is not None
-        body = received_body(frames, response.body, response.body_length, frames.aclose)
+        body = self._received_body(frames, response, call)
         is_reusable = response.body is not None and call.body.content is not None
         return Answered(response.status, response.headers, body), is_reusable
 
+    def _received_body(
+        self, frames: FrameStream, response: ResponseHead, call: Call
+    ) -> Body:
+        body = received_body(frames, response.body, response.body_length, frames.aclose)
+        if body.content is not None:
+            return body
+        # A working peer has broken it off by then.
+        give_up_at = call.deadline + _DEADLINE_GRACE_S
+        return bounded_response_body(
+            body, call.request_id, give_up_at, self._max_body_bytes
+        )
+
     def _release(self, address: str, connection: _PeerConnection) -> None:
         idle_connections = self._idle_by_address.setdefault(address, [])
         if len(idle_connections) < _MAX_IDLE_CONNECTIONS:
