A streamed response whose request ends in quarantine handling gives its slot back

After a streamed response had begun, the guard still reports to the quarantine's coordinator. A deadline or a hang-up in that time dropped the response without closing it: its slot and its upstream connection were held for ever. Now the guard closes a response that it can't hand over.

--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -210,6 +210,7 @@
             trial = await self.quarantine.admit(call)
         if isinstance(trial, Refused):
             return trial
+        outcome: Outcome | None = None
         try:
             outcome = await self._run_when_admitted(
                 call, account.weight if account else 1
@@ -217,6 +218,11 @@
             if self.quarantine is not None:
                 await self.quarantine.handle_outcome(call, trial, outcome)
             return outcome
+        except trio.Cancelled:
+            if isinstance(outcome, Answered):
+                # Nobody else will close it: a streamed body holds a slot.
+                await outcome.body.aclose()
+            raise
         finally:
             if trial is not None and self.quarantine is not None:
                 await self.quarantine.end_trial(trial)
--- a/tests/guard/test_endless_answers.py
+++ b/tests/guard/test_endless_answers.py
@@ -288,3 +288,20 @@
     received = await call_through_server(setting, REQUEST, read_slowly, LONG_S)
     assert received.count(b"x") >= size
     await setting.assert_released()
+
+
+class SlowQuarantine:
+    """A quarantine whose handling of an outcome takes longer than the call has."""
+
+    async def admit(self, _):
+        return None
+
+    async def handle_outcome(self, *_):
+        await trio.sleep(LONG_S)
+
+
+async def test_an_answer_that_nobody_is_given_gives_its_slot_back(start):
+    setting = await start(flood_after(CHUNKED_HEAD, CHUNK * 16))
+    setting.guard.quarantine = SlowQuarantine()
+    await setting.execute()
+    await setting.assert_released()
