An HTTP/1.0 caller's broken-off response is reset, so that it doesn't look complete

To an HTTP/1.0 caller a body of unknown length is sent without chunks and ends with the connection. A body that broke off ended in the same way as a whole one: with a plain close. Evidence: the new test got an end of the stream. Now such a connection is reset.

--- a/mangospoke/http/writing.py
+++ b/mangospoke/http/writing.py
@@ -13,6 +13,9 @@
 )
 from mangospoke.verdicts import Verdict
 
+_VERSION_WITHOUT_CHUNKS = b"1.0"
+"""HTTP version in which a body of unknown length ends with its connection."""
+
 
 async def write_response(
     cycle: RequestCycle, response: HttpResponse, method: bytes
@@ -56,6 +59,8 @@
     except (IncompleteBodyError, h11.LocalProtocolError):
         # The missing end tells the caller that the body is incomplete.
         http.send_failed()
+        if body.length is None and http.their_http_version == _VERSION_WITHOUT_CHUNKS:
+            cycle.stream.reset_on_close()
 
 
 def _framed_headers(response: HttpResponse, method: bytes) -> list[tuple[bytes, bytes]]:
--- a/mangospoke/streams.py
+++ b/mangospoke/streams.py
@@ -9,6 +9,7 @@
 import os
 import select
 import socket
+import struct
 
 import trio
 
@@ -23,6 +24,10 @@
 """An idle connection is probed after 30 s and closed after 30 s without a reply."""
 
 
+_ZERO_LINGER = struct.pack("ii", 1, 0)
+"""With this value of SO_LINGER, closing a socket resets its connection."""
+
+
 class Stream:
     """A TCP connection."""
 
@@ -117,6 +122,13 @@
         for level, option, value in _KEEP_ALIVE_OPTIONS:
             self._socket.setsockopt(level, option, value)
 
+    def reset_on_close(self) -> None:
+        """Lets `close` reset the connection, so that the peer doesn't see a plain end.
+
+        Bytes that haven't reached the peer yet are lost.
+        """
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
+
     def has_input(self) -> bool:
         """Returns whether bytes or EOF can be read, or the stream is closed."""
         if self._descriptor < 0:
--- a/tests/guard/test_endless_answers.py
+++ b/tests/guard/test_endless_answers.py
@@ -33,6 +33,7 @@
 CHUNK = b"1000\r\n" + b"x" * 4_096 + b"\r\n"
 FLOOD = [(CHUNKED_HEAD, CHUNK * 16), (LENGTHLESS_HEAD, b"x" * 65_536)]
 REQUEST = b"GET /batches/1 HTTP/1.1\r\nHost: x\r\n\r\n"
+OLD_REQUEST = b"GET /batches/1 HTTP/1.0\r\n\r\n"
 
 
 def make_guarded_call(deadline_s):
@@ -258,6 +259,18 @@
     await setting.assert_released()
 
 
+async def test_an_answer_to_an_old_caller_does_not_look_complete(start):
+    # HTTP/1.0 knows no chunks: there, the end of the connection ends a body.
+    setting = await start(trickle_after(CHUNKED_HEAD + CHUNK * 4, b"1\r\nx\r\n"))
+
+    async def read_to_reset(caller):
+        with pytest.raises(trio.BrokenResourceError):
+            await read_to_end(caller)
+
+    await call_through_server(setting, OLD_REQUEST, read_to_reset)
+    await setting.assert_released()
+
+
 async def test_a_caller_that_does_not_read_holds_no_slot_after_the_deadline(start):
     async def wait(caller):
         with trio.fail_after(DEADLINE_S + LATE_S):
