A stalled response ends when the daemon that it goes to has left

Once a response was being streamed to another daemon, nobody watched that daemon's connection. If the upstream then sent nothing more, the close of a caller that had left was noticed only at the next write: the upstream worked on and held its slot, against GONE. Now the connection is watched until the response has been sent.

--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -7,7 +7,6 @@
 
 from mangospoke.calls import Call, KeyUse, RetryAllowance
 from mangospoke.conf.declarations import Importance
-from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import Body, IncompleteBodyError
 from mangospoke.http.server import ConnectionContext
 from mangospoke.peers.bodies import received_body, send_chunks
@@ -106,12 +105,12 @@
 ) -> bool:
     """Serves a forwarded request; returns whether another may follow."""
     call = _make_call(frames, head)
-    with context.work:
-        outcome = await _execute(frames, call, execute, context.hang_ups)
-        if outcome is None:
-            return False
+    # The peer closes the connection to cancel the call, also while it is answered.
+    with context.work, context.hang_ups.watch(frames.stream):
+        outcome = await execute(call)
         await _send_outcome(frames, call, outcome, read_load())
-    return call.body.content is not None
+        return call.body.content is not None
+    return False
 
 
 def _make_call(frames: FrameStream, head: RequestHead) -> Call:
@@ -137,15 +136,6 @@
     )
 
 
-async def _execute(
-    frames: FrameStream, call: Call, execute: Executor, hang_ups: HangUpMonitor
-) -> Outcome | None:
-    """Executes a call; returns None if the peer closes the connection meanwhile."""
-    with hang_ups.watch(frames.stream):
-        return await execute(call)
-    return None
-
-
 async def _send_outcome(
     frames: FrameStream, call: Call, outcome: Outcome, load: Load
 ) -> None:
