A store whose pages never end is unavailable, not read without end

A log-newest page that always announces another was followed for ever: every page's records were kept and the reader never came back. A value that isn't base64 ended the reader with an exception that nobody expects. Now at most 1,000 pages or 64 MiB are read, and both cases are LogUnavailableError.

--- a/mangospoke/platform/store.py
+++ b/mangospoke/platform/store.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's store: a log service with compacted topics."""
 
 import base64
+import binascii
 import struct
 import time
 from collections.abc import Iterator
@@ -35,6 +36,12 @@
 _BINARY_CONTENT_TYPE = b"application/octet-stream"
 _MAX_READ_KB = 1_024
 
+_MAX_NEWEST_PAGES = 1_000
+_MAX_NEWEST_BYTES = 67_108_864
+"""Pages and bytes of the newest records of one topic that are read, so that a store
+that always announces one more page neither fills the memory nor keeps the reader.
+"""
+
 _OK_STATUS = 200
 _GONE_STATUS = 410
 _NOT_APPENDED_STATUSES = frozenset({400, 403, 404, 409, 412, 413, 429, 503, 507})
@@ -80,20 +87,24 @@
         records: list[KeyedRecord] = []
         cursor = ""
         end: int | None = None
-        while True:
+        size = 0
+        for _ in range(_MAX_NEWEST_PAGES):
             target = f"/log-newest?topic={topic}&part=0{cursor}"
             response = await self.transport.exchange(b"GET", target)
             content = _require_content(response)
+            size += len(content)
+            if size > _MAX_NEWEST_BYTES:
+                break
             page = _decode_json(content, _NewestPage)
             # The pages aren't one consistent snapshot: reading resumes at the first
             # page's end, so that changes made in between aren't missed.
             end = page.end if end is None else min(end, page.end)
-            for item in page.items:
-                value = base64.b64decode(item.value)
-                records.append(KeyedRecord(item.key, value, item.offset))
+            records.extend(_decode_item(item) for item in page.items)
             if not page.more or not page.items:
                 return KeyedBatch(records, end)
             cursor = f"&after={quote(page.items[-1].key, safe='')}"
+        detail = f"the pages of {topic} don't end after {size} bytes"
+        raise LogUnavailableError(detail)
 
     async def read(self, topic: str, from_offset: int, wait_ms: int) -> KeyedBatch:
         """See `KeyedLog.read`."""
@@ -148,6 +159,14 @@
         raise LogUnavailableError(f"cannot decode the response: {error}") from error
 
 
+def _decode_item(item: _NewestItem) -> KeyedRecord:
+    try:
+        value = base64.b64decode(item.value)
+    except binascii.Error as error:
+        raise LogUnavailableError(f"cannot decode a value: {error}") from error
+    return KeyedRecord(item.key, value, item.offset)
+
+
 def _parse_records(content: bytes, from_offset: int) -> Iterator[KeyedRecord]:
     """Parses a response of `log-read`: two offsets, then length-prefixed records."""
     position = _READ_HEADER.size
