A log service that answers no JSON is unavailable

The native client let msgspec's error out of read and append if an answer with status 200 or 410 was no JSON, or was too large to be held (over 16 MiB). Its callers handle LogUnavailableError only. Evidence: the new test, three cases.

--- a/mangospoke/logservice/client.py
+++ b/mangospoke/logservice/client.py
@@ -1,8 +1,11 @@
 """Client of the log service for the streams that this system keeps in it."""
 
+from typing import TypeVar
+
 import msgspec
 
 from mangospoke.conf.settings import LogService
+from mangospoke.http.messages import HttpResponse
 from mangospoke.logservice.calls import (
     LogRefusedError,
     LogTransport,
@@ -19,6 +22,8 @@
 _GONE = 410
 _MAX_RECORDS_PER_READ = 500
 
+_ResponseType = TypeVar("_ResponseType", AppendResponse, ReadResponse)
+
 
 class LogClient:
     """Appends records to streams of the log service, and reads them."""
@@ -44,9 +49,7 @@
         )
         if response.status != _OK:
             raise LogRefusedError(f"unexpected HTTP status {response.status}")
-        return msgspec.json.decode(
-            response.body.content or b"", type=AppendResponse
-        ).offset
+        return _decode(response, AppendResponse).offset
 
     async def read(
         self, stream: LogStream, from_offset: int, wait_ms: int
@@ -69,7 +72,17 @@
         response = await self._transport.exchange(b"GET", target, wait_s=wait_ms / 1000)
         if response.status not in (_OK, _GONE):
             raise LogUnavailableError(f"unexpected HTTP status {response.status}")
-        result = msgspec.json.decode(response.body.content or b"", type=ReadResponse)
+        result = _decode(response, ReadResponse)
         if response.status == _GONE:
             raise OffsetExpiredError(result.first_offset)
         return result
+
+
+def _decode(
+    response: HttpResponse, response_type: type[_ResponseType]
+) -> _ResponseType:
+    """Decodes a response; one that was too large to be read whole has no content."""
+    try:
+        return msgspec.json.decode(response.body.content or b"", type=response_type)
+    except msgspec.MsgspecError as error:
+        raise LogUnavailableError(f"cannot decode the response: {error}") from error
--- a/tests/platform/test_endless_store.py
+++ b/tests/platform/test_endless_store.py
@@ -10,6 +10,8 @@
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpResponse
 from mangospoke.logservice.calls import LogUnavailableError
+from mangospoke.logservice.client import LogClient
+from mangospoke.logservice.records import LogStream
 from mangospoke.platform.store import StoreLog
 from tests.harness.raw_upstreams import RawUpstream
 from tests.harness.serving import serve_http
@@ -70,3 +72,14 @@
     log = StoreLog(settings_of(await nursery.start(serve_http, handle)))
     with pytest.raises(LogUnavailableError):
         await log.read_newest(TOPIC)
+
+
+@pytest.mark.parametrize("content", [b"", b"no json", b"x" * 17_000_000])
+async def test_a_log_service_that_answers_no_json_is_unavailable(nursery, content):
+    async def handle(_):
+        return HttpResponse(200, [], buffered_body(content))
+
+    address = await nursery.start(serve_http, handle)
+    client = LogClient(LogService(address=address, timeout_ms=5_000))
+    with pytest.raises(LogUnavailableError):
+        await client.read(next(iter(LogStream)), 0, 0)
