Stand-in upstream: answers of which a part has no end

The stand-in upstream now can: head, informational responses, answers of other requests, garbage, a chunked body and one without length, at full speed or trickled.

--- a/mangospoke/standin/http.py
+++ b/mangospoke/standin/http.py
@@ -7,12 +7,14 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
+from typing import NoReturn
 from urllib.parse import parse_qsl
 
 import h11
 import trio
 
 from mangospoke.conf.settings import split_address
+from mangospoke.standin.endless import EndlessBytes
 from mangospoke.verdicts import Headers
 
 _RECEIVE_BYTES = 65_536
@@ -58,12 +60,14 @@
     Attributes:
         truncate_at: Bytes of the body after which the connection is closed, or
             None for a whole answer.
+        endless: What is sent in place of an answer, until the client closes.
     """
 
     status: int = 200
     body: bytes = b""
     headers: Sequence[tuple[bytes, bytes]] = ()
     truncate_at: int | None = None
+    endless: EndlessBytes | None = None
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -140,6 +144,8 @@
             response = await self._answer(request, connection, stream)
             if response is None:
                 return
+            if response.endless is not None:
+                await _send_endless_bytes(stream, response.endless)
             await _send_response(connection, stream, response)
             if connection.our_state is not h11.DONE:
                 return
@@ -199,6 +205,16 @@
         scope.cancel()
 
 
+async def _send_endless_bytes(
+    stream: trio.SocketStream, endless: EndlessBytes
+) -> NoReturn:
+    """Sends until the client closes, which raises `trio.BrokenResourceError`."""
+    await stream.send_all(endless.start)
+    while True:
+        await stream.send_all(endless.repeated)
+        await trio.sleep(endless.pause_s)
+
+
 async def _send_response(
     connection: h11.Connection, stream: trio.SocketStream, response: Response
 ) -> None:
--- a/mangospoke/standin/upstream.py
+++ b/mangospoke/standin/upstream.py
@@ -11,6 +11,7 @@
 from mangospoke.client.connections import ConnectionPool
 from mangospoke.http.fields import DEADLINE, REQUEST_ID, SHED
 from mangospoke.standin.answers import AnswerContent, digest
+from mangospoke.standin.endless import endless_bytes
 from mangospoke.standin.executions import Execution, ExecutionLog, Result
 from mangospoke.standin.fault_dice import FaultDice
 from mangospoke.standin.http import (
@@ -204,6 +205,11 @@
         if self.dice.strikes("truncated"):
             cut = len(response.body) // 2
             return Response(response.status, response.body, response.headers, cut)
+        faults = self.dice.faults
+        if self.dice.strikes("endless"):
+            pause_s = faults.endless_pause_ms / 1000
+            endless = endless_bytes(faults.endless_part, response.headers, pause_s)
+            return Response(endless=endless)
         previous, self._previous = self._previous, response
         if previous is not None and self.dice.strikes("crossed"):
             return previous
--- a/mangospoke/standin/upstream_settings.py
+++ b/mangospoke/standin/upstream_settings.py
@@ -144,6 +144,17 @@
     BUSY = "busy"
 
 
+class EndlessPart(enum.Enum):
+    """The part of an answer that has no end."""
+
+    HEAD = "head"
+    INFORMATIONAL = "informational"
+    OTHER_ANSWERS = "other-answers"
+    GARBAGE = "garbage"
+    CHUNKED_BODY = "chunked-body"
+    BODY_WITHOUT_LENGTH = "body-without-length"
+
+
 class Chance(_Table, frozen=True, kw_only=True):
     """How often a fault strikes: the next `count` requests, then by probability."""
 
@@ -163,6 +174,9 @@
         truncated: Answers cut in the middle of the body.
         dropped: Requests that run and whose connection is then closed.
         stalled: Requests that start and never end by themselves.
+        endless: Answers of which one part goes on until the connection is closed.
+        endless_part: That part.
+        endless_pause_ms: Pause between two pieces of it; 0 for full speed.
         ignores_cancellation: Whether work goes on when its connection is closed.
         health: What the health endpoint says.
         load: What the load endpoint says.
@@ -178,6 +192,9 @@
     truncated: Chance = Chance()
     dropped: Chance = Chance()
     stalled: Chance = Chance()
+    endless: Chance = Chance()
+    endless_part: EndlessPart = EndlessPart.CHUNKED_BODY
+    endless_pause_ms: Milliseconds = 0
     ignores_cancellation: bool = False
     health: HealthReport = HealthReport.TRUE
     load: LoadLie = LoadLie.TRUE
--- a/tests/standin/test_upstream.py
+++ b/tests/standin/test_upstream.py
@@ -7,11 +7,13 @@
 from mangospoke.announcements import LoadReport
 from mangospoke.bench.waiting import wait_until
 from mangospoke.client.connections import ExchangeError
+from mangospoke.conf.settings import split_address
 from mangospoke.http.fields import DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID, SHED
 from mangospoke.standin.answers import is_whole_answer
 from mangospoke.standin.executions import Result, read_record
 from mangospoke.standin.upstream_settings import (
     Chance,
+    EndlessPart,
     HealthReport,
     LoadLie,
     UpstreamFaults,
@@ -174,3 +176,19 @@
         await upstream.wait_until(lambda executions: len(executions) == 1)
         assert await report() == 0
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("part", list(EndlessPart))
+async def test_an_endless_answer_goes_on_until_the_connection_is_closed(
+    start_upstream, part
+):
+    upstream = await start_upstream(**FAST)
+    await upstream.set_faults(UpstreamFaults(endless=ONCE, endless_part=part))
+    ip, port = split_address(upstream.running.address)
+    async with await trio.open_tcp_stream(ip, port) as stream:
+        await stream.send_all(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        with trio.fail_after(20):
+            received = 0
+            while received < 1_000_000:
+                received += len(await stream.receive_some())
+    assert (await upstream.call("GET", "/2")).status == 200
