--- a/mangospoke/guard/upstream.py
+++ b/mangospoke/guard/upstream.py
@@ -181,7 +181,9 @@
             return Unanswered(FailureReason.CROSSED_ANSWER, detail)
         if exchange.metadata.report is not None:
             self.report = exchange.metadata.report
-        if _is_too_large(response, self._limits.body_bytes):
+        # The length in a response to HEAD is that of a body that isn't sent.
+        is_head = call.method == b"HEAD"
+        if not is_head and _is_too_large(response, self._limits.body_bytes):
             detail = f"the body is declared as {response.body.length} bytes"
             return Unanswered(FailureReason.ANSWER_TOO_LARGE, detail)
         return _outcome_of(
--- a/tests/guard/test_endless_answers.py
+++ b/tests/guard/test_endless_answers.py
@@ -36,8 +36,8 @@
 OLD_REQUEST = b"GET /batches/1 HTTP/1.0\r\n\r\n"
 
 
-def make_guarded_call(deadline_s):
-    return make_call(deadline_s, headers=[(b"host", b"x")])
+def make_guarded_call(deadline_s, method=b"GET"):
+    return make_call(deadline_s, headers=[(b"host", b"x")], method=method)
 
 
 class Setting:
@@ -183,6 +183,20 @@
     await setting.assert_released()
 
 
+async def test_the_length_in_an_answer_to_head_may_be_over_the_limit(start):
+    head = ANSWER_HEAD + b"Content-Length: %d\r\n\r\n" % (MAX_BODY_BYTES + 1)
+
+    async def script(_, stream):
+        await stream.send_all(head)
+
+    setting = await start(script)
+    outcome = await setting.guard.execute(make_guarded_call(LONG_S, b"HEAD"))
+    async with outcome.body as body:
+        assert body.length == MAX_BODY_BYTES + 1
+        assert await read_all(body) == 0
+    await setting.assert_released()
+
+
 async def test_bytes_behind_a_complete_answer_are_not_the_next_ones(start):
     head = ANSWER_HEAD + b"Content-Length: 3\r\n\r\nown and more"
     setting = await start(flood_after(head, b"more"))
