--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -15,8 +15,9 @@
 from mangospoke.guard.fair_queue import Slot
 from mangospoke.guard.hints import POLL_INTERVAL_S, poll_hints
 from mangospoke.guard.poison import QuarantineController
-from mangospoke.guard.upstream import UpstreamConnectionPool, with_close_callback
+from mangospoke.guard.upstream import UpstreamConnectionPool
 from mangospoke.http.client import ConnectError, open_connection
+from mangospoke.http.response_streams import bounded_response_body
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
 from mangospoke.state.fleet import Fleet
@@ -209,6 +210,7 @@
             trial = await self.quarantine.admit(call)
         if isinstance(trial, Refused):
             return trial
+        outcome: Outcome | None = None
         try:
             outcome = await self._run_when_admitted(
                 call, account.weight if account else 1
@@ -216,6 +218,11 @@
             if self.quarantine is not None:
                 await self.quarantine.handle_outcome(call, trial, outcome)
             return outcome
+        except trio.Cancelled:
+            if isinstance(outcome, Answered):
+                # Nobody else will close it: a streamed body holds a slot.
+                await outcome.body.aclose()
+            raise
         finally:
             if trial is not None and self.quarantine is not None:
                 await self.quarantine.end_trial(trial)
@@ -232,8 +239,12 @@
             completion = _completion_of(outcome)
             if isinstance(outcome, Answered) and outcome.body.content is None:
                 completion = Completion.STREAMING
-                outcome.body = with_close_callback(
-                    outcome.body, self._make_slot_releaser(slot)
+                outcome.body = bounded_response_body(
+                    outcome.body,
+                    call.request_id,
+                    call.deadline,
+                    self._limits.body_bytes,
+                    self._make_slot_releaser(slot),
                 )
             return outcome
         finally:
--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -19,6 +19,18 @@
 _MAX_SEND_FIRST_BYTES = 16_384
 """Request bodies up to this size are sent in full before the response is read."""
 
+_MAX_INFORMATIONAL_RESPONSES = 16
+"""Responses with a 1xx status that may precede a response."""
+
+_MAX_DISCARDED_RESPONSES = 16
+"""Late responses to earlier requests that are discarded before a response."""
+
+_MAX_CHUNKS_PER_TURN = 64
+"""Chunks of a body that are parsed, in half a millisecond, before other tasks run."""
+
+_RESPONSE_START = b"HTTP/1."
+"""First bytes of every response."""
+
 _PLACEHOLDER_HEADERS = [(b"host", b"any")]
 
 
@@ -59,6 +71,7 @@
         self._is_closed = False
         self._is_sending = False
         self._received_eof = False
+        self._is_start_checked = False
 
     async def exchange(
         self,
@@ -80,7 +93,7 @@
                 larger ones are streamed.
             belongs_to_request: Returns whether a response belongs to this request. A
                 complete response that doesn't is discarded: it is a late response to
-                an earlier request.
+                an earlier request. After too many of them, the last one is returned.
 
         Raises:
             ResponseMissingError: If the connection ended before the response head.
@@ -140,9 +153,13 @@
         belongs_to_request: Callable[[HttpResponse], bool],
     ) -> HttpResponse:
         response = await self._read_response(buffered_body_bytes)
-        while not belongs_to_request(response) and self._discard_response(
-            method, response
-        ):
+        discarded_count = 0
+        while not belongs_to_request(response):
+            if discarded_count == _MAX_DISCARDED_RESPONSES:
+                break
+            if not self._discard_response(method, response):
+                break
+            discarded_count += 1
             response = await self._read_response(buffered_body_bytes)
         if method == b"HEAD":
             # The length is that of the body that a GET would return.
@@ -165,7 +182,9 @@
             h11.Request(method=method, target=b"/", headers=_PLACEHOLDER_HEADERS)
         )
         self._h11.send(h11.EndOfMessage())
-        self._h11.receive_data(received)
+        if received:
+            # Empty bytes would tell h11 that the upstream closed the connection.
+            self._h11.receive_data(received)
         return True
 
     def _start_request(
@@ -206,16 +225,30 @@
 
     async def _next_event(self) -> object:
         while True:
-            try:
-                event = self._h11.next_event()
-            except h11.RemoteProtocolError as error:
-                if self._received_eof:
-                    raise ResponseMissingError(str(error)) from error
-                raise ResponseMalformedError(str(error)) from error
+            event = self._parse_event()
             if event is not h11.NEED_DATA:
                 return event
+            if not self._is_start_checked:
+                self._check_response_start()
             await self._receive()
 
+    def _parse_event(self) -> object:
+        """Returns the next event in the bytes received so far, or `NEED_DATA`."""
+        try:
+            return self._h11.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._received_eof:
+                raise ResponseMissingError(str(error)) from error
+            raise ResponseMalformedError(str(error)) from error
+
+    def _check_response_start(self) -> None:
+        """Rejects bytes that can't become a response, however slowly they arrive."""
+        received, _ = self._h11.trailing_data
+        start = received[: len(_RESPONSE_START)]
+        if not _RESPONSE_START.startswith(start):
+            raise ResponseMalformedError("the bytes aren't an HTTP/1 response")
+        self._is_start_checked = len(start) == len(_RESPONSE_START)
+
     async def _receive(self) -> None:
         if self._received_eof:
             raise ResponseMissingError("the upstream closed the connection")
@@ -229,14 +262,22 @@
         self._h11.receive_data(content)
 
     async def _read_response(self, buffered_body_bytes: int) -> HttpResponse:
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next_event()
-        if not isinstance(head, h11.Response):
-            raise ResponseMissingError("the upstream closed the connection")
+        head = await self._read_final_head()
         body = await self._read_body(head, buffered_body_bytes)
         return HttpResponse(head.status_code, list(head.headers), body)
 
+    async def _read_final_head(self) -> h11.Response:
+        """Reads heads up to one that isn't informational."""
+        for _ in range(_MAX_INFORMATIONAL_RESPONSES + 1):
+            self._is_start_checked = False
+            head = await self._next_event()
+            self._is_start_checked = True
+            if isinstance(head, h11.Response):
+                return head
+            if not isinstance(head, h11.InformationalResponse):
+                raise ResponseMissingError("the upstream closed the connection")
+        raise ResponseMalformedError("too many informational responses")
+
     async def _read_body(self, head: h11.Response, buffered_body_bytes: int) -> Body:
         length = _content_length(head.headers)
         if length is not None and length > buffered_body_bytes:
@@ -244,35 +285,53 @@
         chunks: list[bytes] = []
         size = 0
         while size <= buffered_body_bytes:
-            event = await self._next_body_event()
-            if isinstance(event, h11.EndOfMessage):
+            chunk = await self._next_body_part()
+            if not chunk:
                 return buffered_body(b"".join(chunks))
-            if not isinstance(event, h11.Data):
-                raise ResponseTruncatedError("the upstream closed the connection")
-            chunks.append(bytes(event.data))
-            size += len(event.data)
+            chunks.append(chunk)
+            size += len(chunk)
         return streamed_body(self._body_chunks(chunks), length, self.aclose)
 
-    async def _next_body_event(self) -> object:
+    async def _next_body_part(self) -> bytes:
+        """Waits for a part of the body; empty at the body's end.
+
+        Chunks that have been received are returned as one part: an upstream may send
+        chunks of a byte, and each part costs a write to the caller.
+        """
         try:
-            return await self._next_event()
+            return await self._join_received_chunks()
         except (ResponseMissingError, ResponseMalformedError) as error:
             raise ResponseTruncatedError(str(error)) from error
 
+    async def _join_received_chunks(self) -> bytes:
+        chunks: list[bytes] = []
+        chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
+        while self._h11.their_state is h11.SEND_BODY:
+            event = self._parse_event()
+            if isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+                chunks_until_checkpoint -= 1
+            elif event is h11.NEED_DATA:
+                if chunks:
+                    break
+                await self._receive()
+            if not chunks_until_checkpoint:
+                await trio.lowlevel.checkpoint()
+                chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
+        return b"".join(chunks)
+
     async def _body_chunks(self, read_chunks: list[bytes]) -> AsyncIterator[bytes]:
         """Yields the chunks already read, then the rest from the connection."""
         for chunk in read_chunks:
             yield chunk
         while True:
             try:
-                event = await self._next_body_event()
+                chunk = await self._next_body_part()
             except ResponseTruncatedError as error:
                 raise IncompleteBodyError(str(error)) from error
-            if isinstance(event, h11.EndOfMessage):
+            if not chunk:
                 return
-            if not isinstance(event, h11.Data):
-                raise IncompleteBodyError("the upstream closed the connection")
-            yield bytes(event.data)
+            yield chunk
 
     def is_reusable(self) -> bool:
         """Prepares the connection for another request; False if it can't be reused."""
--- a/mangospoke/http/writing.py
+++ b/mangospoke/http/writing.py
@@ -3,7 +3,7 @@
 import h11
 
 from mangospoke.http import fields
-from mangospoke.http.bodies import Body, IncompleteBodyError
+from mangospoke.http.bodies import Body, IncompleteBodyError, until_deadline
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.reading import (
     BODY_TOO_LARGE_STATUS,
@@ -13,6 +13,9 @@
 )
 from mangospoke.verdicts import Verdict
 
+_VERSION_WITHOUT_CHUNKS = b"1.0"
+"""HTTP version in which a body of unknown length ends with its connection."""
+
 
 async def write_response(
     cycle: RequestCycle, response: HttpResponse, method: bytes
@@ -49,12 +52,15 @@
 async def _write_streamed_body(cycle: RequestCycle, body: Body) -> None:
     http = cycle.http
     try:
-        async for chunk in body.chunks():
-            await cycle.send(http.send(h11.Data(data=chunk)) or b"")
-        await cycle.send(http.send(h11.EndOfMessage()) or b"")
+        with until_deadline(body):
+            async for chunk in body.chunks():
+                await cycle.send(http.send(h11.Data(data=chunk)) or b"")
+            await cycle.send(http.send(h11.EndOfMessage()) or b"")
     except (IncompleteBodyError, h11.LocalProtocolError):
         # The missing end tells the caller that the body is incomplete.
         http.send_failed()
+        if body.length is None and http.their_http_version == _VERSION_WITHOUT_CHUNKS:
+            cycle.stream.reset_on_close()
 
 
 def _framed_headers(response: HttpResponse, method: bytes) -> list[tuple[bytes, bytes]]:
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -121,12 +121,13 @@
 ) -> bool:
     """Serves a forwarded request; returns whether another may follow."""
     call = _make_call(frames, head)
-    with context.work:
-        outcome = await _execute(frames, call, execute, context)
-        if outcome is None:
-            return False
+    # The peer closes the connection to cancel the call, also while it is answered.
+    record_hang_up = call.cancellation.record_hang_up
+    with context.work, context.hang_ups.watch(frames.stream, record_hang_up):
+        outcome = await context.shutdown.execute(call, execute)
         await _send_outcome(frames, call, outcome, read_load())
-    return call.body.content is not None
+        return call.body.content is not None
+    return False
 
 
 def _make_call(frames: FrameStream, head: RequestHead) -> Call:
@@ -152,15 +153,6 @@
     )
 
 
-async def _execute(
-    frames: FrameStream, call: Call, execute: Executor, context: ConnectionContext
-) -> Outcome | None:
-    """Executes a call; returns None if the peer closes the connection meanwhile."""
-    with context.hang_ups.watch(frames.stream, call.cancellation.record_hang_up):
-        return await context.shutdown.execute(call, execute)
-    return None
-
-
 async def _send_outcome(
     frames: FrameStream, call: Call, outcome: Outcome, load: Load
 ) -> None:
