Handle stop signals before any listener is open

Cause: the listeners were opened before the task that handles the signals had started. Change: signals are handled from before the first listener until the end of the daemon, by a task of its own, which also reads further signals; the shutdown waits for its event.

--- a/mangospoke/daemon/hosted_run.py
+++ b/mangospoke/daemon/hosted_run.py
@@ -11,7 +11,8 @@
 from mangospoke.daemon.stopping import (
     ShutdownSchedule,
     ShutdownSteps,
-    shut_down_on_signal,
+    shut_down_on_request,
+    watch_stop_signals,
 )
 from mangospoke.daemon.supervision import supervise, tune_garbage_collector
 from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
@@ -60,15 +61,18 @@
 ) -> None:
     daemon = HostedDaemon(hosted_settings, platform, log)
     tune_garbage_collector()
+    stop_requested = trio.Event()
     try:
         async with trio.open_nursery() as nursery:
+            await nursery.start(watch_stop_signals, stop_requested)
             for name, service in daemon.services_by_name().items():
                 nursery.start_soon(supervise, name, service)
             acceptors = await _open_acceptors(daemon)
             for acceptor in acceptors:
                 nursery.start_soon(acceptor.serve)
             nursery.start_soon(
-                shut_down_on_signal,
+                shut_down_on_request,
+                stop_requested,
                 lambda: _read_schedule(daemon),
                 _make_steps(daemon, acceptors),
                 daemon.connections,
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -12,7 +12,8 @@
 from mangospoke.daemon.stopping import (
     ShutdownSchedule,
     ShutdownSteps,
-    shut_down_on_signal,
+    shut_down_on_request,
+    watch_stop_signals,
 )
 from mangospoke.daemon.supervision import supervise, tune_garbage_collector
 from mangospoke.guard.guard import DRAIN_NOTICE_S
@@ -52,8 +53,10 @@
 async def _run(settings: Settings, log: EventLog) -> None:
     daemon = assemble_daemon(settings, log)
     tune_garbage_collector()
+    stop_requested = trio.Event()
     try:
         async with trio.open_nursery() as nursery:
+            await nursery.start(watch_stop_signals, stop_requested)
             nursery.start_soon(
                 supervise, "hang-up monitor", daemon.connections.hang_ups.run
             )
@@ -71,7 +74,8 @@
             nursery.start_soon(supervise, "incidents", daemon.incidents.run)
             acceptors = await _start_listeners(daemon, nursery)
             nursery.start_soon(
-                shut_down_on_signal,
+                shut_down_on_request,
+                stop_requested,
                 lambda: _SHUTDOWN_SCHEDULE,
                 _make_steps(daemon, acceptors),
                 daemon.connections,
--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -1,7 +1,7 @@
 """Graceful shutdown: no new requests are accepted, and accepted ones are answered."""
 
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 import trio
@@ -50,33 +50,39 @@
     finish: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint
 
 
-async def shut_down_on_signal(
+async def watch_stop_signals(
+    requested: trio.Event, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Reports SIGTERM or SIGINT until it is cancelled; further ones change nothing.
+
+    It is started before any listener is open, and reads signals until the daemon ends:
+    by their default action, they would kill the process.
+
+    Args:
+        requested: Set at the first signal.
+        task_status: Reports that signals are handled.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for number in signals:
+            if requested.is_set():
+                logger.bind(event="signal_ignored", signal=number).info(
+                    "already shutting down; signal {} changes nothing", number
+                )
+            requested.set()
+
+
+async def shut_down_on_request(
+    requested: trio.Event,
     read_schedule: Callable[[], ShutdownSchedule],
     steps: ShutdownSteps,
     connections: ConnectionContext,
     scope: trio.CancelScope,
 ) -> None:
-    """Shuts down gracefully on SIGTERM or SIGINT, then cancels the daemon's scope.
-
-    Further signals change nothing.
-    """
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            break
-        async with trio.open_nursery() as nursery:
-            # Signals that are still queued when the receiver is closed would take
-            # their default action and kill the process.
-            nursery.start_soon(_ignore_signals, signals)
-            await shut_down(read_schedule(), steps, connections)
-            nursery.cancel_scope.cancel()
-        scope.cancel()
-
-
-async def _ignore_signals(signals: AsyncIterator[int]) -> None:
-    async for number in signals:
-        logger.bind(event="signal_ignored", signal=number).info(
-            "already shutting down; signal {} changes nothing", number
-        )
+    """Shuts down gracefully when requested, then cancels the daemon's scope."""
+    await requested.wait()
+    await shut_down(read_schedule(), steps, connections)
+    scope.cancel()
 
 
 async def shut_down(
