Free the slot of a streamed response that waits for its turn at its deadline

An upstream saw: a slot and a connection held by a response beyond its request's deadline, while the response waited behind a slow one of a caller that pipelines. Cause: the deadline of a streamed body bounded its reading, not the wait before it. Evidence: the new test fails on the code before and passes: released after 1 s, as the deadline says. Change: the deadline bounds the wait, and the reading of a body that is held back; the caller gets a 502 in place of the response, whose head had not been sent.

--- a/mangospoke/http/complete_bodies.py
+++ b/mangospoke/http/complete_bodies.py
@@ -6,7 +6,13 @@
 from loguru import logger
 
 from mangospoke.http import fields
-from mangospoke.http.bodies import IncompleteBodyError, buffered_body, streamed_body
+from mangospoke.http.bodies import (
+    Body,
+    IncompleteBodyError,
+    buffered_body,
+    streamed_body,
+    until_deadline,
+)
 from mangospoke.http.messages import HttpResponse
 from mangospoke.verdicts import FailureReason, Verdict
 
@@ -26,19 +32,26 @@
     size = 0
     chunks = body.chunks()
     try:
-        async for chunk in chunks:
-            held.append(chunk)
-            size += len(chunk)
-            if size > MAX_HELD_BODY_BYTES:
-                rest = streamed_body(_chain(held, chunks), body.length)
-                return replace(response, body=rest)
+        with until_deadline(body):
+            async for chunk in chunks:
+                held.append(chunk)
+                size += len(chunk)
+                if size > MAX_HELD_BODY_BYTES:
+                    return replace(response, body=_resume(body, held, chunks))
     except IncompleteBodyError as error:
-        return _broken_body_response(str(error))
+        return broken_body_response(str(error))
     if body.length is not None and size != body.length:
-        return _broken_body_response(f"{size} of {body.length} bytes were received")
+        return broken_body_response(f"{size} of {body.length} bytes were received")
     return replace(response, body=buffered_body(b"".join(held)))
 
 
+def _resume(body: Body, held: list[bytes], rest: AsyncIterator[bytes]) -> Body:
+    """Returns a streamed body of which the first chunks have been read already."""
+    return streamed_body(
+        _chain(held, rest), body.length, body.aclose, deadline=body.deadline
+    )
+
+
 async def _chain(
     held: list[bytes], chunks: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
@@ -48,7 +61,8 @@
         yield chunk
 
 
-def _broken_body_response(detail: str) -> HttpResponse:
+def broken_body_response(detail: str) -> HttpResponse:
+    """Returns the response in place of one whose body broke off before it was sent."""
     logger.bind(event="response_broken", detail=detail).warning(
         "a response broke off before it was sent to the caller: {}", detail
     )
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -11,8 +11,15 @@
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http import fields
-from mangospoke.http.bodies import buffered_body
-from mangospoke.http.complete_bodies import with_complete_body
+from mangospoke.http.bodies import (
+    IncompleteBodyError,
+    buffered_body,
+    until_deadline,
+)
+from mangospoke.http.complete_bodies import (
+    broken_body_response,
+    with_complete_body,
+)
 from mangospoke.http.delivery import UndeliveredResponse, ignore_undelivered
 from mangospoke.http.listener import ConnectionHandler
 from mangospoke.http.messages import HttpRequest, HttpResponse
@@ -352,7 +359,13 @@
             pending_response.is_streamed = True
             if pending_response is not self._last_response:
                 response = await with_complete_body(response)
-        await pending_response.wait_for_previous()
+        try:
+            with until_deadline(response.body):
+                await pending_response.wait_for_previous()
+        except IncompleteBodyError as error:
+            await response.body.aclose()
+            response = broken_body_response(str(error))
+            await pending_response.wait_for_previous()
         is_last = pending_response is self._last_response
         response.closes_connection = self._is_closing and is_last
         await write_response(cycle, response, request.method)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -6,6 +6,7 @@
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import IncompleteBodyError, buffered_body, streamed_body
+from mangospoke.http.complete_bodies import MAX_HELD_BODY_BYTES
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.server import ConnectionContext, serve_connection
 from mangospoke.idle import WorkCounter
@@ -215,3 +216,38 @@
             received = await stream.receive_some()
             assert received.count(b"HTTP/1.1 200") == 3
             assert await stream.receive_some() == b""
+
+
+async def test_a_streamed_response_that_waits_for_its_turn_frees_its_slot_in_time(
+    autojump_clock,
+):
+    released_at = []
+
+    async def chunks():
+        yield bytes(MAX_HELD_BODY_BYTES + 1)
+
+    async def release():
+        released_at.append(trio.current_time())
+
+    async def handler(request):
+        if request.path == "/slow":
+            await trio.sleep(5.0)
+            return HttpResponse(200, [], buffered_body(b"slow"))
+        deadline = trio.current_time() + 1.0
+        body = streamed_body(chunks(), None, release, deadline)
+        return HttpResponse(200, [], body)
+
+    caller_socket, server_socket = trio.socket.socketpair()
+    context = ConnectionContext(Limits(), WorkCounter(), HangUpMonitor())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_connection, Stream(server_socket), handler, context)
+        started_at = trio.current_time()
+        async with trio.SocketStream(caller_socket) as stream:
+            await stream.send_all(encode_get(b"/slow") + encode_get(b"/streamed"))
+            await trio.sleep(6.0)
+            received = b""
+            while received.count(b"HTTP/1.1") < 2:
+                received += await stream.receive_some()
+    assert [at - started_at for at in released_at] == [1.0]
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"slowHTTP/1.1 502" in received
