Don't send a call that arrives after the interruption of a shutdown

Callers saw: a call that came through a peer, or after it had waited for a token of its rate, in the last phase of a stop was sent to the upstream and broken off at once, and its caller got 502 (may have run) instead of 503 (not run). Cause: the scope of such a call was cancelled before the executor started, but the executor sends before its first checkpoint if a slot and an idle connection are free. Evidence: test_a_call_that_arrives_after_the_interruption_is_not_sent fails without the change (the call is sent) and passes with it. Why it works: in that phase the outcome is decided without calling the executor.

--- a/mangospoke/shutdown.py
+++ b/mangospoke/shutdown.py
@@ -80,7 +80,13 @@
     async def execute(
         self, call: Call, executor: Callable[[Call], Awaitable[Outcome]]
     ) -> Outcome:
-        """Executes a call; its outcome is decided at once if it is interrupted."""
+        """Executes a call; its outcome is decided at once if it is interrupted.
+
+        A call that arrives after the interruption isn't executed: an executor may send
+        it before its first checkpoint, where a cancellation would take effect.
+        """
+        if self.phase is ShutdownPhase.INTERRUPTING:
+            return _outcome_of_interrupted(call)
         outcome: Outcome | None = None
         with self._interruptible():
             outcome = await executor(call)
@@ -89,8 +95,6 @@
     @contextmanager
     def _interruptible(self) -> Iterator[None]:
         with trio.CancelScope() as scope:
-            if self.phase is ShutdownPhase.INTERRUPTING:
-                scope.cancel()
             self._scopes.add(scope)
             try:
                 yield
