Report a lookup that a stop interrupts as one that may have run

Callers saw: a caller that sent its located Idempotency-Key again while the first sending was still running at a host that stopped could get 503 and the verdict "not-run", although the upstream was running it. Cause: Shutdown decides by Call.may_have_run, and a call that waits for the outcome of an earlier sending is itself unsent. Evidence: test_a_lookup_of_a_running_attempt_is_not_reported_as_not_run fails without the change (Verdict.NOT_RUN) and passes with it. Why it works: the wait records the running sending as the call's earlier attempt.

--- a/mangospoke/guard/records.py
+++ b/mangospoke/guard/records.py
@@ -157,6 +157,9 @@
     if record.fingerprint != request_fingerprint(call):
         detail = "the Idempotency-Key belongs to another request"
         return Refused(RefusalReason.IDEMPOTENCY_KEY_REUSED, detail)
+    if record.state is RecordState.RUNNING:
+        # If the wait is cancelled, the call must not be reported as not run.
+        call.earlier = Unanswered(FailureReason.EARLIER_ATTEMPT_IN_PROGRESS)
     with trio.move_on_at(call.deadline):
         await record.ended.wait()
     if record.state is RecordState.RUNNING:
