Keep the connections of a listener whose queue fails while it is closed

Callers saw (in the test): an error of accept during the close of a listener ended all open connections of that listener, and with them the daemon. Cause: the loop that accepts the queued connections had no handling of errors, unlike the loop before the close. Evidence: test_an_accept_error_at_the_close_does_not_end_open_connections (EMFILE, EPROTO) fails without the change and passes with it. Why it works: the error is logged and ends the emptying of the queue only.

--- a/mangospoke/http/listener.py
+++ b/mangospoke/http/listener.py
@@ -3,7 +3,7 @@
 import errno
 import os
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import trio
 from loguru import logger
@@ -70,7 +70,7 @@
                 self._listener.socket.close()
                 # Closing the last listening descriptor resets the connections that
                 # the kernel has queued, so they are accepted first.
-                while (stream := _accept_one(listen_socket)) is not None:
+                for stream in _accept_queued(listen_socket):
                     nursery.start_soon(self._serve_connection, stream)
 
     async def _accept_until_cancelled(
@@ -120,6 +120,17 @@
     return duplicate
 
 
+def _accept_queued(listen_socket: socket.socket) -> Iterator[Stream]:
+    """Yields the connections that the kernel has queued, up to the first error."""
+    try:
+        while (stream := _accept_one(listen_socket)) is not None:
+            yield stream
+    except OSError as error:
+        logger.bind(event="accept_failed").warning(
+            "accepting a connection failed: {}; the listener is being closed", error
+        )
+
+
 def _accept_one(listen_socket: socket.socket) -> Stream | None:
     """Accepts a connection; None if none is queued."""
     try:
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from mangospoke.http import listener as listener_module
 from mangospoke.http.listener import Acceptor, open_listener
@@ -66,3 +67,38 @@
             await connect(acceptor)
             await connect(acceptor)
             await trio.sleep_forever()
+
+
+class FailingQueue:
+    """Accepts the connections that the kernel queued; the first one fails."""
+
+    def __init__(self, error_number):
+        self._accept = listener_module._accept_one
+        self._error_number = error_number
+        self._has_failed = False
+
+    def __call__(self, listen_socket):
+        if not self._has_failed:
+            self._has_failed = True
+            raise OSError(self._error_number, "accept failed")
+        return self._accept(listen_socket)
+
+
+@pytest.mark.parametrize(
+    "error_number", [errno.EMFILE, errno.EPROTO], ids=errno.errorcode.get
+)
+async def test_an_accept_error_at_the_close_does_not_end_open_connections(
+    monkeypatch, nursery, error_number
+):
+    acceptor = Acceptor(await open_listener("127.0.0.1:0"), echo, 10)
+    nursery.start_soon(acceptor.serve)
+    with trio.fail_after(5):
+        first = await connect(acceptor)
+        await first.send_all(b"1")
+        assert await first.receive_some() == b"1"
+        monkeypatch.setattr(listener_module, "_accept_one", FailingQueue(error_number))
+        acceptor.stop_accepting()
+        await trio.testing.wait_all_tasks_blocked()
+        await first.send_all(b"2")
+        assert await first.receive_some() == b"2"
+    nursery.cancel_scope.cancel()
