Don't take the length in a response to HEAD for a broken body

Callers saw: of two pipelined HEAD requests the first got 502 (truncated-answer) in place of the upstream's 200, if its Content-Length was over buffered_body_bytes and up to 1 MiB. Cause: reads streamed bodies of responses with others behind them into memory and compares the size with the length, which in a response to HEAD isn't its own. Evidence: test_the_length_in_a_response_to_head_is_not_taken_for_a_broken_body fails without the change (502, 200) and passes with it. Why it works: a response to HEAD has no body that could break off.

--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -355,7 +355,8 @@
         """Writes a response after all earlier ones."""
         if response.closes_connection:
             self._is_closing = True
-        if response.body.content is None:
+        # The length in a response to HEAD isn't that of its body, which is empty.
+        if response.body.content is None and request.method != b"HEAD":
             pending_response.is_streamed = True
             if pending_response is not self._last_response:
                 response = await with_complete_body(response)
--- a/tests/http/test_pipelined_close.py
+++ b/tests/http/test_pipelined_close.py
@@ -328,6 +328,24 @@
     assert [response.body for response in exchange.responses[1:]] == [b"/1", b"/2"]
 
 
+async def test_the_length_in_a_response_to_head_is_not_taken_for_a_broken_body(
+    autojump_clock,
+):
+    async def answer_as_to_head(request):
+        await trio.sleep(0.1)
+        return HttpResponse(200, [], streamed_body(stream_chunks([]), 100_000))
+
+    async def use(connection):
+        requests = encode_request(0, b"HEAD") + encode_request(1, b"HEAD")
+        await connection.caller.send_all(requests)
+        received, _ = await receive_until_end(connection.caller)
+        return received
+
+    received = await run_connection(answer_as_to_head, open_socketpair(), use)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert received.count(b"content-length: 100000") == 2
+
+
 async def test_garbage_behind_pipelined_requests_leaves_them_answered(autojump_clock):
     plans = [Plan(delay_s=0.3), Plan(delay_s=0.2), Plan(method=b"G T")]
     handler, exchange = await play(plans)
