Let a stopping daemon wait until a peer has read an early response to an upload

Callers saw: nothing yet; found in review. Evidence: test_a_shutdown_waits_for_a_response_before_the_end_of_an_upload fails without the change (closing.count 0) and passes with it. The reset itself was not brought about. Why it works: shut_down waits for connections that are being closed.

--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -72,7 +72,8 @@
             await accept_handshake(frames, identity)
         while await _serve_next(frames, execute, read_load, context, handle_control):
             pass
-        await _discard_input(stream)
+        with context.closing:
+            await _discard_input(stream)
     except (PeerUnavailableError, trio.BrokenResourceError):
         return
     except (PeerProtocolError, trio.TooSlowError) as error:
--- a/tests/peers/test_pool.py
+++ b/tests/peers/test_pool.py
@@ -14,9 +14,9 @@
 from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
 from mangospoke.peers import server as peer_server
-from mangospoke.peers.client import PeerConnectionPool
+from mangospoke.peers.client import PeerConnectionPool, _request_head
 from mangospoke.peers.handshake import Identity, accept_handshake
-from mangospoke.peers.messages import Load
+from mangospoke.peers.messages import BodyChunk, Load
 from mangospoke.peers.server import serve_peer
 from mangospoke.streams import Stream
 from mangospoke.verdicts import (
@@ -149,6 +149,26 @@
         assert peer.accepted_count == 2
 
 
+async def test_a_shutdown_waits_for_a_response_before_the_end_of_an_upload():
+    async with connected_pool(answer) as (pool, peer, address, _):
+        call = make_pool_call()
+        call.body = streamed_body(stream_nothing(), 2)
+        connection = await pool._acquire(address)
+        await connection.frames.send(_request_head(call, 0, 0.0), BodyChunk(b"x"))
+        await connection.frames.receive()
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        # The end of the process would close the connection with unread input.
+        assert peer.context.closing.count == 1
+        connection.frames.stream.close()
+        with trio.fail_after(5):
+            await peer.context.closing.wait_idle()
+
+
+async def stream_nothing():
+    for chunk in ():
+        yield chunk
+
+
 async def test_only_unused_retries_are_returned():
     async def use_one_retry(call):
         call.retries.take(1)
