Wait for calls that arrive while a stopping daemon waits for closing connections

Callers saw: nothing yet; found in review. Evidence: test_a_call_that_arrives_during_a_lingering_close_is_answered fails without the change (stopped after 4.0 s with the call in progress) and passes with it. Why it works: both counters must be idle, one after the other, before the end.

--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -133,7 +133,9 @@
     for acceptor in acceptors:
         acceptor.stop_accepting()
     await _wait_idle(connections.work)
-    await connections.closing.wait_idle()
+    while connections.closing.count:
+        await connections.closing.wait_idle()
+        await connections.work.wait_idle()
 
 
 async def _wait_idle(work: WorkCounter) -> None:
--- a/tests/daemon/test_stopping.py
+++ b/tests/daemon/test_stopping.py
@@ -174,3 +174,26 @@
         await trio.testing.wait_all_tasks_blocked()
         await daemon.stop()
     assert 4.0 <= daemon.stopped_after_s < SCHEDULE.interrupt_s
+
+
+async def test_a_call_that_arrives_during_a_lingering_close_is_answered(
+    autojump_clock,
+):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+
+        async def close_slowly():
+            with daemon.connections.closing:
+                await trio.sleep(4.0)
+
+        async def send_from_peer():
+            # Peers aren't refused by the phase but by the guard.
+            await trio.sleep(3.9)
+            with daemon.work:
+                await trio.sleep(0.5)
+                assert daemon.stopped_after_s is None
+
+        nursery.start_soon(close_slowly)
+        nursery.start_soon(send_from_peer)
+        await trio.testing.wait_all_tasks_blocked()
+        await daemon.stop()
