Begin to refuse requests in the first 3 s of a stop, however long its grace time

Cause: refuse_s was 0.47 x stop_s, which is over 3 s from a grace time of 6.4 s on. Why it works: no request that is accepted is sent later than 2.9 s after the signal.

--- a/mangospoke/daemon/hosted_run.py
+++ b/mangospoke/daemon/hosted_run.py
@@ -36,6 +36,13 @@
 Requests that are accepted later could not be given enough time to complete.
 """
 
+_MAX_REFUSE_S = 2.9
+"""Latest time at which refusing begins, in seconds after the signal.
+
+The platform lets a daemon cut a request at the end of its stop only if it was sent in
+the first 3 s.
+"""
+
 _INTERRUPT_RATIO = 0.86
 """Part of `stop_s` after which calls in progress are answered by the daemon itself."""
 
@@ -118,10 +125,13 @@
 
 
 def _read_schedule(daemon: HostedDaemon) -> ShutdownSchedule:
-    stop_s = daemon.hosted_settings.guarantees.stop_s
+    return _make_schedule(daemon.hosted_settings.guarantees.stop_s)
+
+
+def _make_schedule(stop_s: float) -> ShutdownSchedule:
     return ShutdownSchedule(
         notice_s=min(_NOT_READY_NOTICE_S, stop_s * _MAX_NOTICE_RATIO),
-        refuse_s=stop_s * _REFUSE_RATIO,
+        refuse_s=min(_MAX_REFUSE_S, stop_s * _REFUSE_RATIO),
         interrupt_s=stop_s * _INTERRUPT_RATIO,
         exit_s=stop_s * _EXIT_RATIO,
     )
