Treat a reason that only a newer peer knows as a lost peer connection

Callers saw: nothing yet; found in review. The older code can't be changed, but the next new reason can be safe. Evidence: test_a_reason_that_only_a_newer_peer_knows_is_no_internal_error fails without the change (ValueError, for a refusal and a failure) and passes with it. Why it works: the outcome is one of which nothing is promised (502, may have run), also for a refusal, and the connection is closed.

--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -348,9 +348,17 @@
 
 
 def _outcome_of(ended: Ended, call: Call) -> Outcome:
-    if ended.kind == EndKind.REFUSED:
-        # A refusal means that no byte of the request has reached an upstream.
-        call.send_status = SendStatus.UNSENT
+    """Returns the outcome that a peer reports.
+
+    Raises:
+        PeerProtocolError: If its reason is unknown here: the peer may be newer.
+    """
+    try:
+        if ended.kind != EndKind.REFUSED:
+            return Unanswered(FailureReason(ended.reason), ended.detail)
         reason = RefusalReason(ended.reason)
-        return Refused(reason, ended.detail, ended.retry_after_s)
-    return Unanswered(FailureReason(ended.reason), ended.detail)
+    except ValueError as error:
+        raise PeerProtocolError(str(error)) from error
+    # A refusal means that no byte of the request has reached an upstream.
+    call.send_status = SendStatus.UNSENT
+    return Refused(reason, ended.detail, ended.retry_after_s)
--- a/tests/peers/test_pool.py
+++ b/tests/peers/test_pool.py
@@ -1,5 +1,6 @@
 """Tests of the pool of peer connections: reuse, stale and idle connections."""
 
+import enum
 from contextlib import asynccontextmanager
 
 import pytest
@@ -192,6 +193,21 @@
         assert not call.may_have_run
 
 
+@pytest.mark.parametrize("outcome_type", [Refused, Unanswered])
+async def test_a_reason_that_only_a_newer_peer_knows_is_no_internal_error(outcome_type):
+    class NewReason(enum.Enum):
+        NEW = "new-reason"
+
+    async def end_as_newer_peer(call):
+        return outcome_type(NewReason.NEW)
+
+    async with connected_pool(end_as_newer_peer) as (pool, _, address, _):
+        call = make_pool_call()
+        outcome = await pool.execute(address, call, 0)
+        assert outcome.reason is FailureReason.PEER_CONNECTION_LOST
+        assert call.may_have_run
+
+
 async def test_a_silent_peer_and_an_unreachable_one_give_different_outcomes():
     async def hang(call):
         await trio.sleep_forever()
