Don't log a caller that leaves behind a malformed request as a daemon's error

Operators saw: "unhandled exception in a connection's task" with a traceback when a caller sent a malformed request behind others and left before their responses. Cause: _reject_request runs in an except clause, so that what it raises passed by the clauses beside it. Evidence: test_a_caller_that_leaves_behind_garbage_is_no_error_of_the_daemon fails without the change (CallerDisconnectedError) and passes with it. Why it works: the rejection runs in a function of its own, inside the handling of callers that leave.

--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -182,13 +182,9 @@
 
     async def serve(self) -> None:
         """Serves requests until either side ends the connection."""
-        cycle = RequestCycle(self.stream, self._context.limits)
         async with trio.open_nursery() as nursery:
             try:
-                while await self._start_request(cycle, nursery):
-                    cycle = cycle.next()
-            except BadRequestError as error:
-                await self._reject_request(cycle, error)
+                await self._start_requests(nursery)
             except (
                 CallerDisconnectedError,
                 trio.BrokenResourceError,
@@ -197,6 +193,15 @@
                 self._record_hang_up()
                 nursery.cancel_scope.cancel()
 
+    async def _start_requests(self, nursery: trio.Nursery) -> None:
+        """Reads and starts requests until no other can follow."""
+        cycle = RequestCycle(self.stream, self._context.limits)
+        try:
+            while await self._start_request(cycle, nursery):
+                cycle = cycle.next()
+        except BadRequestError as error:
+            await self._reject_request(cycle, error)
+
     def _record_hang_up(self) -> None:
         self._set_cause(CancelCause.CALLER_HUNG_UP)
 
--- a/tests/http/test_pipelined_close.py
+++ b/tests/http/test_pipelined_close.py
@@ -353,6 +353,20 @@
     assert sorted(handler.handed_on) == [0, 1]
 
 
+async def test_a_caller_that_leaves_behind_garbage_is_no_error_of_the_daemon():
+    handler = StoppableHandler([Plan(delay_s=3), Plan(delay_s=3)])
+
+    async def use(connection):
+        requests = encode_request(0) + encode_request(1) + b"G T / x\r\n\r\n"
+        await connection.caller.send_all(requests)
+        await trio.sleep(0.2)
+        await connection.caller.aclose()
+        await trio.sleep(0.2)
+
+    # An error of the connection's task would be raised here.
+    await run_connection(handler, await open_tcp_pair(), use)
+
+
 @pytest.mark.parametrize("sends_rest", [False, True])
 async def test_a_partly_read_head_is_not_handed_on_and_resets_nothing(sends_rest):
     handler = StoppableHandler([Plan(delay_s=0.1), Plan()], stopping=True)
