Run the last step of a shutdown also when its time is over

Operators could see: a daemon that cancelled requests at the end of its stop also left without writing that it leaves, so that the fleet had to find that out by itself. Cause: the last step ran inside the time limit that the requests had used up. Evidence: the changed test fails on the code before (is_finished) and passes.

--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -42,7 +42,8 @@
     Attributes:
         announce: Makes callers and peers choose other hosts.
         acceptors: Listeners that are closed once all accepted requests are answered.
-        finish: Runs last, for example to write what is still unwritten.
+        finish: Runs last, for example to write what is still unwritten; it bounds its
+            own time.
     """
 
     announce: Callable[[], None]
@@ -109,11 +110,11 @@
             interrupted = shutdown.interrupt_calls()
             _log_phase(shutdown, work, interrupted)
             await _complete_requests(steps.acceptors, connections)
-        await steps.finish()
     if work.count:
         logger.bind(event="stop_incomplete", in_progress=work.count).error(
             "{} requests are cancelled without a response", work.count
         )
+    await steps.finish()
 
 
 async def _serve_notice_period(notice_s: float, work: WorkCounter) -> None:
--- a/tests/daemon/test_stopping.py
+++ b/tests/daemon/test_stopping.py
@@ -63,6 +63,7 @@
         self.outcomes = []
         self.refused_count = 0
         self.stopped_after_s = None
+        self.is_finished = False
 
     async def send(self, duration_s, status=SendStatus.SENT):
         if self.shutdown.refuses_requests:
@@ -78,9 +79,12 @@
         with self.work:
             self.outcomes.append(await self.shutdown.execute(call, execute))
 
+    async def finish(self):
+        self.is_finished = True
+
     async def stop(self):
         started_at = trio.current_time()
-        steps = ShutdownSteps(lambda: None, [self.acceptor])
+        steps = ShutdownSteps(lambda: None, [self.acceptor], self.finish)
         await shut_down(SCHEDULE, steps, self.connections)
         self.stopped_after_s = trio.current_time() - started_at
 
@@ -151,12 +155,13 @@
     assert daemon.shutdown.phase is ShutdownPhase.REFUSING
 
 
-async def test_work_that_ignores_the_interruption_does_not_delay_the_exit(
+async def test_work_that_ignores_the_interruption_delays_neither_exit_nor_last_step(
     autojump_clock,
 ):
     daemon = StoppingDaemon()
     with daemon.work:
         await daemon.stop()
+    assert daemon.is_finished
     assert daemon.stopped_after_s == SCHEDULE.exit_s
 
 
