Don't eject the upstream of a host that stopped before it could answer

Callers could see fewer upstreams: each call that a stopping host interrupts counted as a failure of its upstream, and stopping hosts used up the part of a service that may be ejected. Found in review. Evidence: the new case of the test fails on the code before and passes.

--- a/mangospoke/routing/ejection.py
+++ b/mangospoke/routing/ejection.py
@@ -52,6 +52,8 @@
         FailureReason.EARLIER_ATTEMPT_UNKNOWN,
         FailureReason.EARLIER_ATTEMPT_ANSWER_LOST,
         FailureReason.IDEMPOTENCY_KEY_EXPIRED,
+        # The host is leaving, which says nothing about its upstream.
+        FailureReason.STOPPED,
     }
 )
 
--- a/tests/routing/test_ejection.py
+++ b/tests/routing/test_ejection.py
@@ -71,6 +71,7 @@
         Unanswered(FailureReason.DEADLINE_EXCEEDED),
         Unanswered(FailureReason.CANCELLED),
         Unanswered(FailureReason.REQUEST_BROKEN),
+        Unanswered(FailureReason.STOPPED),
     ],
 )
 async def test_overload_and_caller_errors_never_eject(outcome, autojump_clock):
