Bound the memory for bodies that are held back for pipelining callers

Operators could see: a daemon that is killed for its memory. Evidence: without a free place in the budget the body is read only when its turn comes (new test); the test can't be written against the code before, which had no bound. Change: a daemon holds back 32 bodies at most; others are streamed as before the fix, and requests behind one that breaks off are then lost with it.

--- a/mangospoke/http/complete_bodies.py
+++ b/mangospoke/http/complete_bodies.py
@@ -1,6 +1,7 @@
 """Streamed bodies that are read into memory before their response is sent."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 from loguru import logger
@@ -19,6 +20,30 @@
 MAX_HELD_BODY_BYTES = 1_048_576
 """Size up to which a streamed body is read into memory."""
 
+_MAX_HELD_BODIES = 32
+"""Bodies of a daemon that are held in memory at the same time."""
+
+
+class HeldBodyBudget:
+    """Bounds the bodies that are held in memory until their turn to be sent.
+
+    Args:
+        max_bodies: Maximum number of such bodies.
+    """
+
+    def __init__(self, max_bodies: int = _MAX_HELD_BODIES) -> None:
+        self._free = max_bodies
+
+    @contextmanager
+    def reserve(self) -> Iterator[bool]:
+        """Yields whether a body may be held until the end of the block."""
+        is_reserved = self._free > 0
+        self._free -= is_reserved
+        try:
+            yield is_reserved
+        finally:
+            self._free += is_reserved
+
 
 async def with_complete_body(response: HttpResponse) -> HttpResponse:
     """Returns a response with its body read into memory; an error if it breaks off.
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -17,6 +17,7 @@
     until_deadline,
 )
 from mangospoke.http.complete_bodies import (
+    HeldBodyBudget,
     broken_body_response,
     with_complete_body,
 )
@@ -63,6 +64,7 @@
         record_undelivered: Records a response that the caller didn't get completely.
         shutdown: Interrupts the requests of peers at the end of a shutdown.
         closing: Counts the connections whose last response may still be on its way.
+        held_bodies: Bounds the memory for bodies that are held back.
     """
 
     limits: Limits
@@ -71,6 +73,7 @@
     record_undelivered: Callable[[UndeliveredResponse], None] = ignore_undelivered
     shutdown: Shutdown = field(default_factory=Shutdown)
     closing: WorkCounter = field(default_factory=WorkCounter)
+    held_bodies: HeldBodyBudget = field(default_factory=HeldBodyBudget)
 
 
 def make_connection_handler(
@@ -363,8 +366,23 @@
         # The length in a response to HEAD isn't that of its body, which is empty.
         if response.body.content is None and request.method != b"HEAD":
             pending_response.is_streamed = True
-            if pending_response is not self._last_response:
+        is_last = pending_response is self._last_response
+        if not pending_response.is_streamed or is_last:
+            await self._write_in_turn(cycle, request, response, pending_response)
+            return
+        with self._context.held_bodies.reserve() as is_reserved:
+            if is_reserved:
                 response = await with_complete_body(response)
+            await self._write_in_turn(cycle, request, response, pending_response)
+
+    async def _write_in_turn(
+        self,
+        cycle: RequestCycle,
+        request: HttpRequest,
+        response: HttpResponse,
+        pending_response: _PendingResponse,
+    ) -> None:
+        """Writes a response when it is its turn, or an error if it can't wait."""
         try:
             with until_deadline(response.body):
                 await pending_response.wait_for_previous()
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,12 +1,13 @@
 """Tests of the HTTP server: one connection, with handlers defined by the tests."""
 
+import pytest
 import trio
 import trio.testing
 
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import IncompleteBodyError, buffered_body, streamed_body
-from mangospoke.http.complete_bodies import MAX_HELD_BODY_BYTES
+from mangospoke.http.complete_bodies import MAX_HELD_BODY_BYTES, HeldBodyBudget
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.server import ConnectionContext, serve_connection
 from mangospoke.idle import WorkCounter
@@ -251,3 +252,38 @@
     assert [at - started_at for at in released_at] == [1.0]
     assert received.startswith(b"HTTP/1.1 200")
     assert b"slowHTTP/1.1 502" in received
+
+
+@pytest.mark.parametrize("max_held", [0, 1])
+async def test_bodies_of_pipelining_callers_do_not_fill_the_memory(
+    autojump_clock, max_held
+):
+    read_at = []
+
+    async def chunks():
+        read_at.append(trio.current_time())
+        yield b"streamed"
+
+    async def handler(request):
+        if request.path == "/streamed":
+            return HttpResponse(200, [], streamed_body(chunks(), None))
+        await trio.sleep(1.0)
+        return HttpResponse(200, [], buffered_body(b"slow"))
+
+    budget = HeldBodyBudget(max_held)
+    caller_socket, server_socket = trio.socket.socketpair()
+    context = ConnectionContext(
+        Limits(), WorkCounter(), HangUpMonitor(), held_bodies=budget
+    )
+    paths = (b"/slow", b"/streamed", b"/slow")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_connection, Stream(server_socket), handler, context)
+        started_at = trio.current_time()
+        async with trio.SocketStream(caller_socket) as stream:
+            await stream.send_all(b"".join(encode_get(path) for path in paths))
+            received = b""
+            while received.count(b"HTTP/1.1 200") < 3:
+                received += await stream.receive_some()
+    assert [at - started_at for at in read_at] == [0.0 if max_held else 1.0]
+    with budget.reserve() as is_reserved:
+        assert is_reserved == bool(max_held)
