End an idle shutdown as early as before

Cause: the wait for late requests came three times, twice of them when requests are refused at once anyway. Change: it comes once, before requests are refused; after the listeners are closed the daemon waits 50 ms for the requests of connections that were queued there.

--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -15,6 +15,9 @@
 _LATE_REQUESTS_WAIT_S = 0.2
 """Wait for requests that were sent just before their sender noticed the shutdown."""
 
+_QUEUED_CONNECTIONS_WAIT_S = 0.05
+"""Wait for the requests of connections that were queued when a listener was closed."""
+
 
 @dataclass(frozen=True, slots=True)
 class ShutdownSchedule:
@@ -119,7 +122,9 @@
 
 async def _serve_notice_period(notice_s: float, work: WorkCounter) -> None:
     await trio.sleep(notice_s)
-    await _wait_idle(work)
+    await work.wait_idle()
+    await trio.sleep(_LATE_REQUESTS_WAIT_S)
+    await work.wait_idle()
 
 
 async def _complete_requests(
@@ -130,19 +135,15 @@
     The listening sockets are closed before the connections, so that a caller either
     fails to connect, and knows that its request has not run, or gets a response.
     """
-    await _wait_idle(connections.work)
+    work = connections.work
+    await work.wait_idle()
     for acceptor in acceptors:
         acceptor.stop_accepting()
-    await _wait_idle(connections.work)
+    await trio.sleep(_QUEUED_CONNECTIONS_WAIT_S)
+    await work.wait_idle()
     while connections.closing.count:
         await connections.closing.wait_idle()
-        await connections.work.wait_idle()
-
-
-async def _wait_idle(work: WorkCounter) -> None:
-    await work.wait_idle()
-    await trio.sleep(_LATE_REQUESTS_WAIT_S)
-    await work.wait_idle()
+        await work.wait_idle()
 
 
 def _log_phase(shutdown: Shutdown, work: WorkCounter, interrupted: int = 0) -> None:
