Move the order of pending responses out of the HTTP server, and say shutdown throughout

The position of a response among those that overlap has a module of its own. StopState and its readers are named after the shutdown, as the rest is. No behaviour changes.

--- a/mangospoke/cancellation.py
+++ b/mangospoke/cancellation.py
@@ -1,4 +1,4 @@
-"""Why a request in progress was cancelled, and how far a planned stop has come."""
+"""Why a request in progress was cancelled, and how far a shutdown has come."""
 
 import enum
 from dataclasses import dataclass
@@ -66,16 +66,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopState:
-    """State of a daemon's planned stop.
+class ShutdownStatus:
+    """Status of a daemon's shutdown, for the log.
 
     Attributes:
-        phase: Phase of the stop, such as `draining`; empty while serving.
-        elapsed_s: Seconds since the stop began; None while serving.
+        phase: Phase of the shutdown, such as `draining`; empty while serving.
+        elapsed_s: Seconds since it began; None while serving.
     """
 
     phase: str = ""
     elapsed_s: float | None = None
 
 
-SERVING = StopState()
+NOT_SHUTTING_DOWN = ShutdownStatus()
--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -110,7 +110,7 @@
         host_incarnation, claim_groups, control, guard.execute
     )
     shutdown = Shutdown()
-    decisions.read_stop_state = shutdown.state
+    decisions.read_shutdown_status = shutdown.status
     dispatcher = Dispatcher(
         settings.host.id,
         at_most_once.execute,
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -161,7 +161,7 @@
         )
         self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
-        self.decisions.read_stop_state = shutdown.state
+        self.decisions.read_shutdown_status = shutdown.status
         retries = guarantees.retries
         dispatcher = Dispatcher(
             settings.host.id,
--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -150,7 +150,7 @@
     logger.bind(
         event="stop_phase",
         phase=shutdown.phase.value,
-        elapsed_ms=round((shutdown.state().elapsed_s or 0.0) * 1000),
+        elapsed_ms=round((shutdown.status().elapsed_s or 0.0) * 1000),
         in_progress=work.count,
         interrupted=interrupted,
     ).info("the shutdown is {}", shutdown.phase.value)
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -1,13 +1,13 @@
 """Server side of HTTP/1.1: serves the requests of each accepted connection."""
 
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import h11
 import trio
 from loguru import logger
 
-from mangospoke.cancellation import CancelCause, Cancellation
+from mangospoke.cancellation import CancelCause
 from mangospoke.conf.settings import Limits
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http import fields
@@ -24,6 +24,10 @@
 from mangospoke.http.delivery import UndeliveredResponse, ignore_undelivered
 from mangospoke.http.listener import ConnectionHandler
 from mangospoke.http.messages import HttpRequest, HttpResponse
+from mangospoke.http.pending_responses import (
+    PendingResponse,
+    unfinished_responses,
+)
 from mangospoke.http.reading import (
     BadRequestError,
     CallerDisconnectedError,
@@ -107,52 +111,6 @@
         stream.close()
 
 
-class _PendingResponse:
-    """The position of one request's response in the order of its connection.
-
-    Attributes:
-        cancellation: Cause for which the request is cancelled.
-        finished: Set once the response is written, so that the next one may be.
-        finished_at: When that was, in seconds on trio's clock; None before.
-        previous: The response before it, until that is known to be finished.
-        is_streamed: Whether its body is not complete yet, so that it may break off.
-    """
-
-    __slots__ = ("cancellation", "finished", "finished_at", "is_streamed", "previous")
-
-    def __init__(
-        self, cancellation: Cancellation, previous: "_PendingResponse | None"
-    ) -> None:
-        self.cancellation = cancellation
-        self.finished = trio.Event()
-        self.finished_at: float | None = None
-        self.previous = previous
-        self.is_streamed = False
-
-    def finish(self) -> None:
-        """Lets the next response be written."""
-        self.finished_at = trio.current_time()
-        self.finished.set()
-
-    async def wait_for_previous(self) -> None:
-        """Waits until this response may be written."""
-        # Waiting for an event that is already set would still yield to the scheduler.
-        if self.previous is not None and not self.previous.finished.is_set():
-            await self.previous.finished.wait()
-        self.previous = None
-
-    def count_unfinished_before(self) -> int:
-        """Returns the number of earlier responses that are not finished."""
-        return sum(1 for _ in _unfinished(self.previous))
-
-
-def _unfinished(response: _PendingResponse | None) -> Iterator[_PendingResponse]:
-    """Yields the unfinished responses up to the given one, the latest first."""
-    while response is not None and not response.finished.is_set():
-        yield response
-        response = response.previous
-
-
 class _ServerConnection:
     """A caller's connection; responses are sent in the order of the requests.
 
@@ -176,7 +134,7 @@
         self.needs_lingering_close = False
         self._handler = handler
         self._context = context
-        self._last_response: _PendingResponse | None = None
+        self._last_response: PendingResponse | None = None
         self._last_method_is_safe = True
         self._accepted_at = trio.current_time()
         self._is_closing = False
@@ -210,7 +168,7 @@
 
     def _set_cause(self, cause: CancelCause) -> None:
         """Sets why all requests in progress on this connection are cancelled."""
-        for response in _unfinished(self._last_response):
+        for response in unfinished_responses(self._last_response):
             response.cancellation.set_cause(cause)
 
     async def _start_request(self, cycle: RequestCycle, nursery: trio.Nursery) -> bool:
@@ -224,7 +182,7 @@
             # the connection, and knows that it has not run.
             await self._wait_for_earlier_responses()
             return False
-        response = self._last_response = _PendingResponse(
+        response = self._last_response = PendingResponse(
             request.cancellation, self._last_response
         )
         if not self._detect_pipelining(cycle):
@@ -251,7 +209,7 @@
         self,
         cycle: RequestCycle,
         request: HttpRequest,
-        response: _PendingResponse,
+        response: PendingResponse,
         connection_scope: trio.CancelScope,
     ) -> None:
         """Serves a request without reading further ones in the meantime."""
@@ -291,7 +249,7 @@
         if response is not None and not response.finished.is_set():
             await self._wait_until_finished(response)
 
-    async def _wait_until_finished(self, response: _PendingResponse) -> None:
+    async def _wait_until_finished(self, response: PendingResponse) -> None:
         """Waits until a response is written, without reading further requests."""
         with self._context.hang_ups.watch(self.stream, self._record_hang_up):
             await response.finished.wait()
@@ -302,7 +260,7 @@
         self,
         cycle: RequestCycle,
         request: HttpRequest,
-        pending_response: _PendingResponse,
+        pending_response: PendingResponse,
         connection_scope: trio.CancelScope,
     ) -> None:
         """Serves one request; ends the connection if no other can follow."""
@@ -333,7 +291,7 @@
         cycle: RequestCycle,
         request: HttpRequest,
         response: HttpResponse,
-        pending_response: _PendingResponse,
+        pending_response: PendingResponse,
     ) -> None:
         """Writes a response in its turn; records it if it can't be written."""
         is_written = False
@@ -358,7 +316,7 @@
         cycle: RequestCycle,
         request: HttpRequest,
         response: HttpResponse,
-        pending_response: _PendingResponse,
+        pending_response: PendingResponse,
     ) -> None:
         """Writes a response after all earlier ones."""
         if response.closes_connection:
@@ -380,7 +338,7 @@
         cycle: RequestCycle,
         request: HttpRequest,
         response: HttpResponse,
-        pending_response: _PendingResponse,
+        pending_response: PendingResponse,
     ) -> None:
         """Writes a response when it is its turn, or an error if it can't wait."""
         try:
--- a/mangospoke/observability/decisions.py
+++ b/mangospoke/observability/decisions.py
@@ -12,10 +12,10 @@
 from mangospoke.cancellation import (
     CAUSED_BY_CALLER,
     CAUSED_BY_DAEMON,
-    SERVING,
+    NOT_SHUTTING_DOWN,
     CancelCause,
     Cancellation,
-    StopState,
+    ShutdownStatus,
 )
 from mangospoke.http.delivery import UndeliveredResponse
 from mangospoke.ids import ClientAccountId, HostId, RequestId, ServiceName
@@ -85,7 +85,7 @@
         latencies: Histograms of the time that requests spend in each phase.
         read_proof_age_s: Returns the seconds since the active configuration was last
             confirmed as the newest; None where that isn't tracked.
-        read_stop_state: Returns the state of the daemon's planned stop.
+        read_shutdown_status: Returns the state of the daemon's planned stop.
     """
 
     def __init__(
@@ -104,7 +104,7 @@
         self.unanswered: Counter[tuple[ServiceName, CancelCause]] = Counter()
         self.latencies = LatencyHistograms()
         self.read_proof_age_s: Callable[[], float | None] = _read_no_proof_age
-        self.read_stop_state: Callable[[], StopState] = _read_no_stop
+        self.read_shutdown_status: Callable[[], ShutdownStatus] = _read_no_shutdown
 
     def _may_write(self, priority: LogPriority, event: str, outcome: Outcome) -> bool:
         if self._log is None:
@@ -165,7 +165,7 @@
         elapsed_s: float,
         cancelled_by: CancelCause | None,
     ) -> RequestEnded:
-        stop = self.read_stop_state()
+        stop = self.read_shutdown_status()
         return RequestEnded(
             request_id=call.request_id,
             service=call.service,
@@ -241,7 +241,7 @@
         kind = f"response_undelivered/{cause.value}"
         if self._log is None or not self._log.may_write(priority, kind):
             return
-        stop = self.read_stop_state()
+        stop = self.read_shutdown_status()
         event = ResponseUndelivered(
             request_id=request.request_id or "",
             service=request.service,
@@ -282,7 +282,7 @@
             self._incidents.record_refusal(account_id, service, refused)
         priority = _priority_of(refused, is_late=False)
         if self._log is not None and self._may_write(priority, "ended", refused):
-            stop = self.read_stop_state()
+            stop = self.read_shutdown_status()
             event = RequestEnded(
                 request_id=request_id or "",
                 service=service,
@@ -410,7 +410,7 @@
     return Unanswered(reason, cancellation.detail)
 
 
-def _stop_elapsed_ms(stop: StopState) -> float | None:
+def _stop_elapsed_ms(stop: ShutdownStatus) -> float | None:
     return None if stop.elapsed_s is None else _to_ms(stop.elapsed_s)
 
 
@@ -418,5 +418,5 @@
     return None
 
 
-def _read_no_stop() -> StopState:
-    return SERVING
+def _read_no_shutdown() -> ShutdownStatus:
+    return NOT_SHUTTING_DOWN
--- a/mangospoke/shutdown.py
+++ b/mangospoke/shutdown.py
@@ -7,7 +7,7 @@
 import trio
 
 from mangospoke.calls import Call
-from mangospoke.cancellation import SERVING, StopState
+from mangospoke.cancellation import NOT_SHUTTING_DOWN, ShutdownStatus
 from mangospoke.verdicts import (
     FailureReason,
     Outcome,
@@ -54,11 +54,11 @@
         """Whether new requests are refused."""
         return self.phase in (ShutdownPhase.REFUSING, ShutdownPhase.INTERRUPTING)
 
-    def state(self) -> StopState:
+    def status(self) -> ShutdownStatus:
         """Returns the phase and the time since the shutdown began, for the log."""
         if not self.is_draining:
-            return SERVING
-        return StopState(self.phase.value, trio.current_time() - self._started_at)
+            return NOT_SHUTTING_DOWN
+        return ShutdownStatus(self.phase.value, trio.current_time() - self._started_at)
 
     def start(self) -> None:
         """Begins the shutdown: callers are asked to connect to another host."""
--- a/tests/observability/test_sink.py
+++ b/tests/observability/test_sink.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from mangospoke.calls import RetryAllowance, SendStatus
-from mangospoke.cancellation import CancelCause, Cancellation, StopState
+from mangospoke.cancellation import CancelCause, Cancellation, ShutdownStatus
 from mangospoke.conf.declarations import Importance
 from mangospoke.conf.settings import LogFormat, Logging
 from mangospoke.http.bodies import buffered_body
@@ -237,7 +237,7 @@
     pipe, autojump_clock, cause, reason, is_counted, status
 ):
     logged = LoggedDecisions(pipe)
-    logged.decisions.read_stop_state = lambda: StopState("draining", 4.8)
+    logged.decisions.read_shutdown_status = lambda: ShutdownStatus("draining", 4.8)
     call = make_booking(cancellation=cancelled_by(cause), send_status=status)
     logged.decisions.record_cancellation(call)
     (line,) = logged.lines()
@@ -297,7 +297,7 @@
     pipe, autojump_clock, cause, is_counted
 ):
     logged = LoggedDecisions(pipe)
-    logged.decisions.read_stop_state = lambda: StopState("draining", 2.2)
+    logged.decisions.read_shutdown_status = lambda: ShutdownStatus("draining", 2.2)
     request = HttpRequest(
         b"GET", b"/x", [], buffered_body(b""), cancelled_by(cause), "9c41", "bookings"
     )
