Tell the request's id when a body breaks off before its response is sent

On-call engineers saw a warning without the request that it is about. No other behaviour changes. The phases of a shutdown say whom they are about.

--- a/mangospoke/http/complete_bodies.py
+++ b/mangospoke/http/complete_bodies.py
@@ -15,6 +15,7 @@
     until_deadline,
 )
 from mangospoke.http.messages import HttpResponse
+from mangospoke.ids import RequestId
 from mangospoke.verdicts import FailureReason, Verdict
 
 MAX_HELD_BODY_BYTES = 1_048_576
@@ -45,10 +46,16 @@
             self._free += is_reserved
 
 
-async def with_complete_body(response: HttpResponse) -> HttpResponse:
+async def with_complete_body(
+    response: HttpResponse, request_id: RequestId | None
+) -> HttpResponse:
     """Returns a response with its body read into memory; an error if it breaks off.
 
     A body that is too large for that stays streamed.
+
+    Args:
+        response: The response.
+        request_id: Id of its request for the log, if known.
     """
     body = response.body
     if body.length is not None and body.length > MAX_HELD_BODY_BYTES:
@@ -64,9 +71,10 @@
                 if size > MAX_HELD_BODY_BYTES:
                     return replace(response, body=_resume(body, held, chunks))
     except IncompleteBodyError as error:
-        return broken_body_response(str(error))
+        return broken_body_response(str(error), request_id)
     if body.length is not None and size != body.length:
-        return broken_body_response(f"{size} of {body.length} bytes were received")
+        detail = f"{size} of {body.length} bytes were received"
+        return broken_body_response(detail, request_id)
     return replace(response, body=buffered_body(b"".join(held)))
 
 
@@ -86,10 +94,10 @@
         yield chunk
 
 
-def broken_body_response(detail: str) -> HttpResponse:
+def broken_body_response(detail: str, request_id: RequestId | None) -> HttpResponse:
     """Returns the response in place of one whose body broke off before it was sent."""
-    logger.bind(event="response_broken", detail=detail).warning(
-        "a response broke off before it was sent to the caller: {}", detail
+    logger.bind(event="response_broken", request_id=request_id).warning(
+        "a response broke off before it was sent; the caller gets a 502: {}", detail
     )
     reason = FailureReason.TRUNCATED_ANSWER.value.encode()
     headers = [
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -66,7 +66,8 @@
         work: Counts the requests in progress, so that a planned stop waits for them.
         hang_ups: Cancels the requests of callers that closed their connection.
         record_undelivered: Records a response that the caller didn't get completely.
-        shutdown: Interrupts the requests of peers at the end of a shutdown.
+        shutdown: Interrupts the calls of peers at the end of a shutdown; those of
+            callers are interrupted by the dispatcher.
         closing: Counts the connections whose last response may still be on its way.
         held_bodies: Bounds the memory for bodies that are held back.
     """
@@ -330,7 +331,7 @@
             return
         with self._context.held_bodies.reserve() as is_reserved:
             if is_reserved:
-                response = await with_complete_body(response)
+                response = await with_complete_body(response, request.request_id)
             await self._write_in_turn(cycle, request, response, pending_response)
 
     async def _write_in_turn(
@@ -346,7 +347,7 @@
                 await pending_response.wait_for_previous()
         except IncompleteBodyError as error:
             await response.body.aclose()
-            response = broken_body_response(str(error))
+            response = broken_body_response(str(error), request.request_id)
             await pending_response.wait_for_previous()
         is_last = pending_response is self._last_response
         response.closes_connection = self._is_closing and is_last
--- a/mangospoke/shutdown.py
+++ b/mangospoke/shutdown.py
@@ -21,9 +21,9 @@
     """How a daemon treats requests.
 
     `SERVING`: it isn't stopping. `DRAINING`: new requests are served, but callers are
-    asked to connect to another host. `REFUSING`: new requests are refused, accepted
-    ones complete. `INTERRUPTING`: accepted requests that still wait for a response
-    are answered without it.
+    asked to connect to another host. `REFUSING`: new requests of callers are refused,
+    accepted ones complete; calls of peers are refused by the guard. `INTERRUPTING`:
+    accepted requests that still wait for a response are answered without it.
     """
 
     SERVING = "serving"
