Stop tests: a request is sent when its bytes are handed to the kernel

A daemon that closes a connection with unread bytes resets it, so that an EOF means that the bytes came after the close: the caller took its time before it sent, and the test process was kept waiting in between. The bound stays 0.2 s after the last byte, as the rule says.

--- a/tests/platform/stop_load.py
+++ b/tests/platform/stop_load.py
@@ -45,6 +45,7 @@
 
     Attributes:
         is_behind: Whether it was sent behind an unanswered one on its connection.
+        sent_at: When its head was handed to the kernel.
         ended_at: When its response was complete, or the connection ended.
         status: Status of the complete response, or None.
         ending: How the connection ended instead: `closed`, `reset`, `silent`, or
@@ -161,14 +162,17 @@
             )
             sent.append(self._journal.add(record))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send, content, requests[-1])
+            nursery.start_soon(self._send, content, requests[-1], sent)
             is_reusable = await self._receive_all(sent)
             nursery.cancel_scope.cancel()
         return is_reusable
 
-    async def _send(self, content, last):
+    async def _send(self, content, last, sent):
         try:
             await self._stream.send_all(content)
+            # The caller itself may have been kept waiting until here.
+            for record in sent:
+                record.sent_at = trio.current_time()
             for _ in range(last.upload_chunks):
                 await trio.sleep(last.chunk_interval_s)
                 await self._stream.send_all(_CHUNK)
