--- a/tests/ingress/test_hosted.py
+++ b/tests/ingress/test_hosted.py
@@ -113,7 +113,8 @@
         return HttpResponse(200, [], buffered_body(b""))
 
     async def _quota(self, account):
-        await trio.sleep(self.quota_delay_s)
+        if self.quota_delay_s:
+            await trio.sleep(self.quota_delay_s)
         return self.quota_refusal
 
     async def send(self, path, key="k"):
