--- a/mangospoke/standin/endless.py
+++ b/mangospoke/standin/endless.py
@@ -7,6 +7,7 @@
 from mangospoke.verdicts import Headers
 
 _CHUNK = b"400\r\n" + b"x" * 1_024 + b"\r\n"
+_MIN_WRITE_BYTES = 1_024
 _STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 _NO_LENGTH = b"\r\n"
 _CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -33,22 +34,30 @@
         headers: Header fields of the answer.
         pause_s: Seconds between two repetitions.
     """
+    start, unit = _start_and_unit(part, headers)
+    # Without a pause, small units would keep the stand-in busier than its client.
+    count = 1 if pause_s else max(1, _MIN_WRITE_BYTES // len(unit))
+    return EndlessBytes(start, unit * count, pause_s)
+
+
+def _start_and_unit(part: EndlessPart, headers: Headers) -> tuple[bytes, bytes]:
+    """Returns the bytes that are sent once, and those that are repeated."""
     head = _STATUS_LINE + b"".join(
         name + b": " + value + b"\r\n" for name, value in headers
     )
     match part:
         case EndlessPart.HEAD:
-            return EndlessBytes(head, b"X-More: x\r\n", pause_s)
+            return head, b"X-More: x\r\n"
         case EndlessPart.INFORMATIONAL:
-            return EndlessBytes(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n", pause_s)
+            return b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"
         case EndlessPart.OTHER_ANSWERS:
-            return EndlessBytes(b"", _other_answer(), pause_s)
+            return b"", _other_answer()
         case EndlessPart.GARBAGE:
-            return EndlessBytes(b"", b"\x00\xffno answer", pause_s)
+            return b"", b"\x00\xffno answer"
         case EndlessPart.CHUNKED_BODY:
-            return EndlessBytes(head + _CHUNKED, _CHUNK, pause_s)
+            return head + _CHUNKED, _CHUNK
         case EndlessPart.BODY_WITHOUT_LENGTH:
-            return EndlessBytes(head + _NO_LENGTH, b"x" * 1_024, pause_s)
+            return head + _NO_LENGTH, b"x" * 1_024
 
 
 def _other_answer() -> bytes:
