--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -115,6 +115,7 @@
         zone: Its zone.
         server: The server beside the daemon.
         outbound: Address for clients.
+        control: Address for the server's pings.
     """
 
     def __init__(
@@ -136,9 +137,9 @@
         self._record = record
         self._folder = folder
         self._process: subprocess.Popen[bytes] | None = None
-        control = f"{ip}:{_CONTROL}"
+        self.control = f"{ip}:{_CONTROL}"
         address = f"{ip}:{_SERVER}"
-        self.server = Server(name, service, zone, address, control, record, handle)
+        self.server = Server(name, service, zone, address, self.control, record, handle)
         settings = {
             "nodeName": name,
             "role": "daemon",
@@ -152,7 +153,7 @@
                 "inbound": f"{ip}:{_INBOUND}",
                 "outbound": self.outbound,
                 "ready": self._ready,
-                "control": control,
+                "control": self.control,
             },
             "portRange": [_FIRST_PORT, _LAST_PORT],
             "seeds": [],
