Review, case 4: longer requests, so that none ends before the interruption

The case claims that LOST breaks: unsafe requests within all their times, at which a sound server is at work, end with a 502 of the system's own. In one run two requests were answered just before the interruption.

Disruption: two daemons get SIGTERM, 1.3 s apart, as in a rolling restart.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -28,14 +28,14 @@
 ]
 BESIDE_SERVER, INGRESS = "sidecar-birgunj-1", "sidecar-kathmandu-1"
 
-WORK_S = 5.4
+WORK_S = 5.6
 """How long the slow server works at a request."""
 
 TIMEOUT_MS = 6000
 GRACE_S = 6.0
 GAP_S = 1.3
 REQUESTS = 8
-REQUEST_GAP_S = 0.02
+REQUEST_GAP_S = 0.01
 
 
 async def run(record: Record) -> bool | None:
