--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,107 +1,109 @@
-"""Two daemons are stopped in turn, and long requests at the first are broken off.
+"""A server that has left, as its daemon acknowledged, is used again.
 
-Requests reach the system at one machine and run at the slow server of another. Both
-daemons get SIGTERM, one shortly after the other, as in a rolling restart. The requests
-would end within the grace of either.
+A daemon has been restarted. Before it hears a ping, the server beside it leaves: it
+sends only DELETE, which the daemon acknowledges. A ping that was sent before arrives
+seconds late.
 """
 
 import asyncio
-import signal
 from pathlib import Path
 
 from standins.case import run_case
 from standins.fleet import (
     KEY,
-    CannotRunError,
     Fleet,
-    Machine,
     make_configuration,
     make_rule,
+    send_steadily,
 )
 from standins.record import Record, has_trouble
 
-SLOW, OTHER = "wuno96b", "huvo11a"
+SERVICE = "wuno96b"
 MACHINES = [
-    ("sidecar-birgunj-1", "birgunj", SLOW),
-    ("sidecar-kathmandu-1", "kathmandu", OTHER),
-    ("sidecar-hetauda-1", "hetauda", OTHER),
+    ("sidecar-bayern-a-1", "bayern-a", SERVICE),
+    ("sidecar-bayern-b-1", "bayern-b", SERVICE),
+    ("sidecar-bayern-c-1", "bayern-c", SERVICE),
 ]
-BESIDE_SERVER, INGRESS = "sidecar-birgunj-1", "sidecar-kathmandu-1"
+LEAVER = "sidecar-bayern-a-1"
 
-WORK_S = 5.6
-"""How long the slow server works at a request."""
+DRAIN_S = 2.0
+PING_DELAY_S = 4.0
+"""How late the last ping arrives; the pages say: seconds late."""
 
-TIMEOUT_MS = 6000
-GRACE_S = 6.0
-GAP_S = 1.3
-REQUESTS = 8
-REQUEST_GAP_S = 0.01
+SERVES_ON_S = 12.0
+"""How long the server serves after its DELETE: `drain` and many seconds more."""
+
+WORK_S = 0.3
+REQUESTS_PER_S = 40
 
 
 async def run(record: Record) -> bool | None:
     """Runs the case; returns whether the rule held."""
     tenant = {"name": "pulo780", "apiKeys": [KEY], "ratePerS": 0, "burst": 0}
-    rules = [
-        make_rule("r-rzm2d54", "/puka111/", SLOW, "unsafe", timeout=f"{TIMEOUT_MS}ms")
-    ]
-    terminated_at: dict[str, float] = {}
+    rules = [make_rule("r-rzm2d54", "/puka111/", SERVICE, "unsafe")]
+    acknowledged_at: list[float] = []
     async with Fleet(record, MACHINES) as fleet:
-        fleet.machines[BESIDE_SERVER].server.work_s = WORK_S
-        await fleet.start(make_configuration(7, rules, [SLOW, OTHER], [tenant]))
-        # All machines are in touch from here on.
-        await asyncio.sleep(3.0)
+        for machine in fleet.machines.values():
+            machine.server.work_s = WORK_S
+        await fleet.start(make_configuration(7, rules, [SERVICE], [tenant]))
+        record.note("all daemons are ready; the clients begin")
+        names = list(fleet.machines)
         async with asyncio.TaskGroup() as tasks:
-            for number in range(REQUESTS):
-                tasks.create_task(
-                    fleet.send(
-                        INGRESS, f"/puka111/{number}", "POST", timeout_ms=TIMEOUT_MS
-                    )
+            tasks.create_task(_leave(fleet, acknowledged_at))
+            tasks.create_task(
+                send_steadily(
+                    lambda number: fleet.send(
+                        names[number % len(names)], f"/puka111/{number}", "POST"
+                    ),
+                    REQUESTS_PER_S,
+                    26.0,
                 )
-                await asyncio.sleep(REQUEST_GAP_S)
-            if has_trouble():
-                for name in (BESIDE_SERVER, INGRESS):
-                    terminated_at[name] = record.now()
-                    tasks.create_task(_stop(record, fleet.machines[name]))
-                    await asyncio.sleep(GAP_S)
-    return judge(record, terminated_at)
+            )
+    return judge(record, acknowledged_at)
 
 
-async def _stop(record: Record, machine: Machine) -> None:
-    """Stops a daemon as the platform does."""
-    record.note(f"SIGTERM to the daemon of {machine.name}")
-    machine.signal_daemon(signal.SIGTERM)
-    if await machine.wait_ended(GRACE_S):
-        record.note(f"the daemon of {machine.name} has ended")
-    else:
-        record.note(f"SIGKILL to the daemon of {machine.name} after the grace")
-        machine.signal_daemon(signal.SIGKILL)
+async def _leave(fleet: Fleet, acknowledged_at: list[float]) -> None:
+    """Restarts the daemon; then the server leaves, and its last ping comes late."""
+    record, machine = fleet.record, fleet.machines[LEAVER]
+    server = machine.server
+    await asyncio.sleep(2.0)
+    # Its pings don't get through while its daemon is away, and the next one is due
+    # only after it has left.
+    server.sends_pings = False
+    await machine.restart_daemon()
+    late_ping = server.next_ping()
+    record.note(f"the server of {LEAVER} sends a ping, which is under way for long")
+    status = await server.deregister()
+    record.note(f"the server of {LEAVER} sends DELETE, which is answered {status}")
+    if status == 200:
+        acknowledged_at.append(record.now())
+    await asyncio.sleep(PING_DELAY_S)
+    if has_trouble():
+        status = await server.ping(late_ping)
+        record.note(f"the ping arrives {PING_DELAY_S} s late, answered {status}")
+    await asyncio.sleep(SERVES_ON_S - PING_DELAY_S)
+    record.note(f"the server of {LEAVER} exits")
+    await server.stop()
 
 
-def judge(record: Record, terminated_at: dict[str, float]) -> bool | None:
-    """Returns whether LOST held."""
-    run_at = {run.attempt: run.at for run in record.runs}
-    if len(run_at) < REQUESTS:
-        raise CannotRunError(f"only {len(run_at)} of {REQUESTS} requests have run")
-    lost = []
-    for answer in record.answers:
-        record.note(
-            f"{answer.attempt} sent at {answer.sent_at:.3f}, answered "
-            f"{answer.status or 'with a closed connection'} after "
-            f"{answer.at - answer.sent_at:.3f} s"
-        )
-        if answer.status == 200:
-            continue
-        if answer.at - answer.sent_at >= TIMEOUT_MS / 1000:
-            continue
-        stopped_at = terminated_at.get(INGRESS)
-        if stopped_at is None:
-            return None
-        if answer.at < stopped_at + GRACE_S * 5 / 6:
-            lost.append(answer.attempt)
+def judge(record: Record, acknowledged_at: list[float]) -> bool | None:
+    """Returns whether DRAIN held."""
+    if not acknowledged_at:
+        record.note("the DELETE was not acknowledged")
+        return None
+    counted_from = acknowledged_at[0] + DRAIN_S
+    late = [run for run in record.runs if run.server == LEAVER]
+    late = [run for run in late if run.at > counted_from]
+    succeeded = {each.attempt for each in record.answers if each.status == 200}
+    lost = [run.attempt for run in late if run.attempt not in succeeded]
+    record.note(f"{len(record.answers)} unsafe requests sent")
+    record.note(
+        f"DRAIN: {len(late)} requests reached the server that had left later than "
+        f"{DRAIN_S} s after the acknowledgment at {acknowledged_at[0]:.3f}"
+    )
     for attempt in lost:
-        record.note(f"LOST: {attempt} was broken off while its server was at work")
-    record.note(f"{len(lost)} of {len(record.answers)} unsafe requests break LOST")
-    return not lost
+        record.note(f"{attempt} was accepted and ran there, and its answer was lost")
+    return not late
 
 
 if __name__ == "__main__":
