--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -209,16 +209,6 @@
         await self.wait_ready()
         self._record.note(f"the daemon of {self.name} is back and ready")
 
-    async def kill_daemon(self) -> None:
-        """Kills the daemon, and starts it again as the platform does."""
-        self._record.note(f"SIGKILL to the daemon of {self.name}")
-        self.signal_daemon(signal.SIGKILL)
-        await self.wait_ended(2.0)
-        await asyncio.sleep(RESTART_DELAY_S)
-        self.start_daemon()
-        await self.wait_ready()
-        self._record.note(f"the daemon of {self.name} is back and ready")
-
     async def wait_ready(self) -> None:
         """Waits until the daemon says that it is ready.
 
@@ -239,11 +229,6 @@
             self._process.kill()
             self._process.wait()
 
-    def log_lines(self) -> list[str]:
-        """Returns what the daemon has written."""
-        path = self._folder / f"{self.name}.log"
-        return path.read_text(errors="replace").splitlines()
-
 
 class Fleet:
     """A small deployment.
