--- a/review/4/case.py
+++ b/review/4/case.py
@@ -20,11 +20,11 @@
 
 SERVICE = "wuno96b"
 MACHINES = [
-    ("sidecar-bayern-a-1", "bayern-a", SERVICE),
-    ("sidecar-bayern-b-1", "bayern-b", SERVICE),
-    ("sidecar-bayern-c-1", "bayern-c", SERVICE),
+    ("sidecar-birgunj-1", "birgunj", SERVICE),
+    ("sidecar-kathmandu-1", "kathmandu", SERVICE),
+    ("sidecar-hetauda-1", "hetauda", SERVICE),
 ]
-LEAVER = "sidecar-bayern-a-1"
+LEAVER = "sidecar-birgunj-1"
 
 DRAIN_S = 2.0
 PING_DELAY_S = 4.0
