Read the load header of upstreams that report their machine's slowness

Cause: the load was taken only with exactly three numbers, so that the whole report of an upstream with a fourth one, the slowness of its machine in percent, was dropped. Change: three counts are required, the fourth value is read into the report, further ones are ignored, and numbers of over 9 digits aren't believed.

--- a/mangospoke/guard/dialect.py
+++ b/mangospoke/guard/dialect.py
@@ -24,11 +24,20 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamReport:
-    """Load that an upstream reports in a response."""
+    """Load that an upstream reports in a response.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that it has queued.
+        slots: Requests that it can run at once.
+        slowness_ratio: How many times longer than usual work takes on its machine at
+            this moment.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness_ratio: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangospoke/platform/headers.py
+++ b/mangospoke/platform/headers.py
@@ -46,7 +46,9 @@
 _NOT_FORWARDED = fields.HOP_BY_HOP | _RESERVED
 
 _MISDIRECTED_STATUS = 421
-_SERVER_LOAD_VALUES = 3
+_SERVER_LOAD_COUNTS = 3
+_MAX_DIGITS = 9
+"""Longest number that is believed of an upstream's load."""
 
 _NOT_EXECUTED_STATUS = 503
 """Guarantees that the request was not executed; 502 and 504 guarantee nothing."""
@@ -147,12 +149,33 @@
 
 
 def _parse_server_load(value: bytes | None) -> UpstreamReport | None:
-    """Parses the comma-separated counts of running requests, waiting ones and slots."""
+    """Parses the comma-separated load of an upstream.
+
+    The values are the counts of running requests, of waiting ones and of slots. Some
+    upstreams add the slowness of their machine in percent. Values after these are
+    ignored.
+    """
     parts = value.split(b",") if value is not None else []
-    numbers = [int(part) for part in parts if part.strip().isdigit()]
-    if len(numbers) != _SERVER_LOAD_VALUES:
+    counts = [_parse_number(part) for part in parts[:_SERVER_LOAD_COUNTS]]
+    if len(counts) < _SERVER_LOAD_COUNTS or None in counts:
+        return None
+    running, waiting, slots = (count or 0 for count in counts)
+    return UpstreamReport(running, waiting, slots, _parse_slowness(parts))
+
+
+def _parse_slowness(parts: list[bytes]) -> float:
+    """Returns how many times longer than usual work takes on the machine now."""
+    if len(parts) <= _SERVER_LOAD_COUNTS:
+        return 1.0
+    percent = _parse_number(parts[_SERVER_LOAD_COUNTS])
+    return percent / 100 if percent else 1.0
+
+
+def _parse_number(text: bytes) -> int | None:
+    text = text.strip()
+    if not text.isdigit() or len(text) > _MAX_DIGITS:
         return None
-    return UpstreamReport(*numbers)
+    return int(text)
 
 
 def _parse_idle_timeout_s(value: bytes | None) -> float | None:
