Placement: upstreams that fail or are slow are known to all who send

Change: the daemon beside an upstream learns work by route without sub-calls, failures of the upstream's own, and the slowness that it reports, and tells them with each response; senders choose by expected cost (docs/design/placement.md). Test doubles of the load reader and observer take the route.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -167,6 +167,7 @@
             balancer.downstream_delay_s,
             self.decisions,
             shutdown,
+            self.guard.executions,
         )
         callees = self.request_handler.callees
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -15,9 +15,11 @@
     ResponseMetadata,
     UpstreamDialect,
 )
-from mangospoke.guard.executions import ExecutionRegistry
+from mangospoke.guard.execution_results import ExecutionResult, judge_execution
+from mangospoke.guard.executions import Execution, ExecutionRegistry
 from mangospoke.guard.fair_queue import Slot
 from mangospoke.guard.hints import POLL_INTERVAL_S, poll_hints
+from mangospoke.guard.performance import UpstreamPerformance
 from mangospoke.guard.poison import QuarantineController
 from mangospoke.guard.rate_limit import StatementSource
 from mangospoke.guard.statements import UpstreamStatements
@@ -25,6 +27,7 @@
 from mangospoke.http.client import ConnectError, open_connection
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.response_streams import bounded_response_body
+from mangospoke.ids import NO_ROUTE, RouteName
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
 from mangospoke.state.fleet import Fleet
@@ -50,6 +53,7 @@
     Attributes:
         announcement: What the upstream last announced, or None.
         statements: What the upstream says about itself.
+        performance: How well the upstream works, as learned from its calls.
         draining: Whether the upstream is leaving; calls from peers are still accepted
             for a short notice period, then refused.
         leaving_listeners: Called when the upstream says in a response that it leaves.
@@ -70,6 +74,7 @@
         self.draining = False
         self.leaving_listeners: list[Callable[[], None]] = []
         self.admission = AdmissionController(adapts_limit)
+        self.performance = UpstreamPerformance()
         self.statements = UpstreamStatements(
             self.admission.rate_limit, self.admission.admit_waiting
         )
@@ -101,6 +106,7 @@
         if is_new_upstream:
             self._connections = self._open_connections(announcement)
             self.statements.attach(announcement)
+            self.performance.reset()
         self.announcement = announcement
         if not self.statements.is_leaving:
             self.draining = False
@@ -121,10 +127,16 @@
             # A late response of a previous run says nothing about the present one.
             if connections is self._connections and not metadata.is_other_instance:
                 self.statements.process_response(response.status, metadata, sent_at)
+                self._record_slowness(metadata)
 
         connections.observe_response = observe
         return connections
 
+    def _record_slowness(self, metadata: ResponseMetadata) -> None:
+        if metadata.report is not None:
+            now = trio.current_time()
+            self.performance.record_slowness(metadata.report.slowness_ratio, now)
+
     def _apply_ceiling(self) -> None:
         ceiling = self._ceiling()
         self.admission.concurrency.set_ceiling(ceiling)
@@ -221,16 +233,31 @@
         self.announcement = None
         self._connections = None
 
-    def load(self) -> Load:
-        """Returns the load of the upstream and the delay of its downstream services."""
-        return self._add_downstream_delay(self.admission.advertised_load())
+    def load(self, route: RouteName = NO_ROUTE) -> Load:
+        """Returns the load of the upstream and the delay of its downstream services.
+
+        Args:
+            route: Route whose work is told.
+        """
+        load = self._add_downstream_delay(self.admission.advertised_load())
+        return self._add_performance(load, route)
 
-    def offer_load(self) -> Load:
-        """Returns the load as told to a peer with a response."""
+    def offer_load(self, route: RouteName) -> Load:
+        """Returns the load as told to a peer with the response to a call of a route."""
         load = self._add_downstream_delay(self.admission.offer_load())
+        load = self._add_performance(load, route)
         notice = self.statements.notice()
         return load if notice is None else msgspec.structs.replace(load, notice=notice)
 
+    def _add_performance(self, load: Load, route: RouteName) -> Load:
+        now = trio.current_time()
+        return msgspec.structs.replace(
+            load,
+            work_ms=round(self.performance.work_s(route) * 1000),
+            failure_percent=round(self.performance.failure_ratio(now) * 100),
+            slowness_percent=round(self.performance.slowness_ratio(now) * 100),
+        )
+
     def _add_downstream_delay(self, load: Load) -> Load:
         delay_s = self.read_downstream_delay_s()
         if delay_s == 0:
@@ -328,13 +355,27 @@
         assert connections is not None and announcement is not None
         service = self._fleet.configuration.services_by_name.get(call.service)
         echoes_request_id = service is None or service.echoes_request_id
-        with self.executions.register(call) as token:
-            outcome = await connections.execute(
-                call, token, echoes_request_id, announcement.instance
-            )
+        outcome: Outcome | None = None
+        with self.executions.register(call) as execution:
+            try:
+                outcome = await connections.execute(
+                    call, execution.token, echoes_request_id, announcement.instance
+                )
+            finally:
+                self._learn_performance(execution, outcome)
         self._detect_restart(outcome)
         return outcome
 
+    def _learn_performance(self, execution: Execution, outcome: Outcome | None) -> None:
+        """Learns from a call that ended; without an outcome it was cancelled."""
+        now = trio.current_time()
+        result = judge_execution(execution, outcome, now)
+        if result is ExecutionResult.SUCCEEDED:
+            own_work_s = execution.own_work_s(now)
+            self.performance.record_success(execution.call.route, own_work_s, now)
+        elif result is ExecutionResult.FAILED:
+            self.performance.record_failure(now)
+
     def _detect_restart(self, outcome: Outcome) -> None:
         """Starts cold when an upstream responds again after it was unreachable."""
         if isinstance(outcome, Refused):
--- a/mangospoke/ingress/dispatch.py
+++ b/mangospoke/ingress/dispatch.py
@@ -124,7 +124,7 @@
         outcome: Outcome | None = None
         reroutes_left = self._max_reroutes
         while True:
-            choice = self._balancer.choose(call.service, tried_hosts)
+            choice = self._balancer.choose(call.service, tried_hosts, call.route)
             if choice is None:
                 return outcome or Refused(
                     RefusalReason.NO_UPSTREAM, "no upstream serves it"
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -15,6 +15,7 @@
     EffectiveConfiguration,
     EffectiveRoute,
 )
+from mangospoke.guard.executions import ExecutionRegistry, track_sub_call
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import ClientAccountId, KeyId, ServiceName
 from mangospoke.ingress.callees import Callees
@@ -53,6 +54,7 @@
         read_downstream_delay_s: Callable[[ServiceName], float],
         decisions: DecisionLog,
         shutdown: Shutdown,
+        executions: ExecutionRegistry | None = None,
     ) -> None:
         self._fleet = fleet
         self._freshness = freshness
@@ -64,6 +66,7 @@
         self._read_downstream_delay_s = read_downstream_delay_s
         self._decisions = decisions
         self._shutdown = shutdown
+        self._executions = executions if executions is not None else ExecutionRegistry()
         self._splitter = TrafficSplitter()
         self._shedder = RootRequestShedder()
         self._random = random.Random()
@@ -107,6 +110,10 @@
             quota_refusal = await self._take_token(request, fields, service, account)
             if quota_refusal is not None:
                 return self._refuse(quota_refusal, fields, account.account_id, service)
+        if call.is_sub_call:
+            with track_sub_call(self._executions, call.parent_id) as sub_call:
+                sub_call.outcome = await self._dispatcher.dispatch_and_record(call)
+            return sub_call.outcome
         outcome = await self._dispatcher.dispatch_and_record(call)
         if isinstance(outcome, Refused):
             self._return_unused_token(account)
--- a/mangospoke/ingress/local.py
+++ b/mangospoke/ingress/local.py
@@ -4,6 +4,7 @@
 
 from mangospoke.announcements import Announcement
 from mangospoke.calls import Call
+from mangospoke.guard.executions import track_sub_call
 from mangospoke.guard.guard import Guard
 from mangospoke.http import fields
 from mangospoke.http.bodies import buffered_body
@@ -89,7 +90,9 @@
         if isinstance(call, Refused):
             return self._refuse(call, parent.account_id, route.service)
         request.request_id, request.service = call.request_id, call.service
-        outcome = await self._dispatcher.dispatch_and_record(call)
+        with track_sub_call(self._guard.executions, parent.request_id) as sub_call:
+            outcome = await self._dispatcher.dispatch_and_record(call)
+            sub_call.outcome = outcome
         return build_response(outcome, call.request_id, call.idempotency_key)
 
     def _refuse(
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -10,6 +10,7 @@
 from mangospoke.conf.settings import Limits, split_address
 from mangospoke.http.bodies import Body, IncompleteBodyError
 from mangospoke.http.response_streams import bounded_response_body
+from mangospoke.ids import RouteName
 from mangospoke.peers.bodies import received_body, send_chunks
 from mangospoke.peers.framing import (
     FrameStream,
@@ -63,8 +64,8 @@
 connection that was opened in such a moment must not shorten all its later calls.
 """
 
-LoadObserver = Callable[[str, Load], None]
-"""Called with a peer's address and its load."""
+LoadObserver = Callable[[str, Load, RouteName], None]
+"""Called with a peer's address, its load, and the route of the call that it answers."""
 
 NoticeReader = Callable[[str], UpstreamNotice | None]
 """Returns what the upstream behind a peer's address said about itself."""
@@ -249,7 +250,7 @@
             await frames.aclose()
             return Unanswered(FailureReason.CROSSED_ANSWER), False
         call.retries.return_unused(min(response.retries_unspent, retries))
-        self._observe_load(address, response.load)
+        self._observe_load(address, response.load, call.route)
         if isinstance(response, Ended):
             return _outcome_of(response, call), call.body.content is not None
         body = self._received_body(frames, response, call)
--- a/mangospoke/peers/messages.py
+++ b/mangospoke/peers/messages.py
@@ -148,6 +148,10 @@
         next_turn_ms: Milliseconds after which the receiver may try to send a request,
             if the upstream's rate limit leaves no room now.
         notice: What the upstream says about itself; None says nothing new.
+        work_ms: Milliseconds that a call of the answered call's route works in the
+            upstream, without its sub-calls; 0 if unknown.
+        failure_percent: Part of the upstream's recent calls that it failed.
+        slowness_percent: How long work takes on its machine now; 100 is as usual.
     """
 
     in_flight: int
@@ -157,6 +161,9 @@
     deep_delay_ms: float = 0.0
     next_turn_ms: float = 0.0
     notice: UpstreamNotice | None = None
+    work_ms: int = 0
+    failure_percent: int = 0
+    slowness_percent: int = 100
 
 
 class ResponseHead(_Frame, frozen=True, tag=20):
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -9,6 +9,7 @@
 from mangospoke.conf.declarations import Importance
 from mangospoke.http.bodies import Body, IncompleteBodyError
 from mangospoke.http.server import ConnectionContext
+from mangospoke.ids import RouteName
 from mangospoke.peers.bodies import received_body, send_chunks
 from mangospoke.peers.framing import (
     FrameStream,
@@ -37,7 +38,9 @@
 """How long input is discarded after the last response, before the close."""
 
 Executor = Callable[[Call], Awaitable[Outcome]]
-LoadReader = Callable[[], Load]
+LoadReader = Callable[[RouteName], Load]
+"""Returns the load that is told with the response to a call of a route."""
+
 ControlHandler = Callable[[bytes], Awaitable[bytes]]
 """Handles an encoded control request and returns the encoded response."""
 
@@ -61,7 +64,8 @@
         stream: The accepted connection.
         identity: Identity of this daemon.
         execute: Executes forwarded requests.
-        read_load: Returns the current load, which is sent with each response.
+        read_load: Returns the current load, which is sent with each response, for the
+            route of the request.
         context: State shared by all connections of this daemon.
         handle_control: Handles control requests.
     """
@@ -126,7 +130,7 @@
     record_hang_up = call.cancellation.record_hang_up
     with context.work, context.hang_ups.watch(frames.stream, record_hang_up):
         outcome = await context.shutdown.execute(call, execute)
-        await _send_outcome(frames, call, outcome, read_load())
+        await _send_outcome(frames, call, outcome, read_load(call.route))
         return call.body.content is not None
     return False
 
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -2,9 +2,10 @@
 
 The upstream on this host is preferred while it has spare capacity, since that saves
 the network hop to another daemon. Otherwise two upstreams of this host's failure
-domain are sampled at random and the less utilized one is chosen ("power of two
-choices"). A call spills over to another failure domain only if the queue delay there
-plus the network round trip is shorter than the queue delay here.
+domain are sampled at random and the one at which the call is expected to cost less is
+chosen ("power of two choices"; `expected_costs`). If a call would cost much more than
+usual at both, all upstreams of the domain are compared. A call spills over to another
+failure domain if that one's upstreams have no room, or would cost it much more.
 """
 
 import random
@@ -13,10 +14,17 @@
 
 import trio
 
-from mangospoke.ids import FailureDomainId, HostId, ServiceName
+from mangospoke.ids import (
+    NO_ROUTE,
+    FailureDomainId,
+    HostId,
+    RouteName,
+    ServiceName,
+)
 from mangospoke.logservice.records import UpstreamAnnounced, UpstreamState
 from mangospoke.peers.messages import Load
 from mangospoke.routing.ejection import Ejector
+from mangospoke.routing.expected_costs import ExpectedCosts, crowding
 from mangospoke.routing.notices import UpstreamNotices
 from mangospoke.state.fleet import Fleet
 
@@ -32,6 +40,12 @@
 _DEFAULT_ONE_WAY_DELAY_S = 0.002
 """Network delay assumed towards a daemon whose delay hasn't been observed yet."""
 
+_MAX_EXCESS_COST_S = 0.1
+"""Cost beyond a route's usual work from which on an upstream is a poor choice."""
+
+_CROSS_DOMAIN_GAIN_S = 0.05
+"""Cost that a hop to another failure domain must save where the own one has room."""
+
 _MAX_SAMPLES = 6
 """Random samples before all upstreams are searched for usable ones."""
 
@@ -85,7 +99,7 @@
         host_id: HostId,
         domain: FailureDomainId,
         ejector: Ejector,
-        read_own_load: Callable[[], Load],
+        read_own_load: Callable[[RouteName], Load],
         random_source: random.Random,
     ) -> None:
         """Initializes the balancer.
@@ -95,7 +109,8 @@
             host_id: This host.
             domain: This host's failure domain.
             ejector: Determines which upstreams are ejected.
-            read_own_load: Reads the load of this host's own upstream.
+            read_own_load: Reads the load of this host's own upstream, with the work of
+                a route.
             random_source: Source of the random samples.
         """
         self.notices = UpstreamNotices()
@@ -105,6 +120,7 @@
         self._ejector = ejector
         self._read_own_load = read_own_load
         self._random = random_source
+        self._costs = ExpectedCosts()
         self._load_by_address: dict[str, _ObservedLoad] = {}
         self._one_way_delay_by_address: dict[str, float] = {}
         self._candidates_by_service: dict[ServiceName, _Candidates] = {}
@@ -116,13 +132,18 @@
         self._ejector.retain_hosts(set(upstreams))
         addresses = {upstream.peer_address for upstream in upstreams.values()}
         self.notices.retain(addresses)
+        self._costs.retain(addresses)
         for by_address in (self._load_by_address, self._one_way_delay_by_address):
             for address in set(by_address) - addresses:
                 del by_address[address]
 
-    def record_load(self, address: str, load: Load) -> None:
-        """Records the load that an upstream reported with a response."""
-        self._load_by_address[address] = _ObservedLoad(load, trio.current_time())
+    def record_load(
+        self, address: str, load: Load, route: RouteName = NO_ROUTE
+    ) -> None:
+        """Records the load that came with the response to a call of a route."""
+        now = trio.current_time()
+        self._load_by_address[address] = _ObservedLoad(load, now)
+        self._costs.record(address, route, load, now)
         if load.notice is not None:
             self.notices.record(address, load.notice)
             if load.notice.is_leaving:
@@ -169,7 +190,7 @@
 
     def _load_of(self, upstream: UpstreamAnnounced) -> Load | None:
         if upstream.host_id == self._host_id:
-            return self._read_own_load()
+            return self._read_own_load(NO_ROUTE)
         observed = self._recent_load(upstream)
         return None if observed is None else observed.load
 
@@ -178,37 +199,60 @@
         return len(self._fleet.upstreams_by_service.get(service, {}))
 
     def choose(
-        self, service: ServiceName, excluded: Collection[HostId]
+        self,
+        service: ServiceName,
+        excluded: Collection[HostId],
+        route: RouteName = NO_ROUTE,
     ) -> UpstreamChoice | None:
         """Chooses an upstream of a service.
 
         Args:
             service: The service.
             excluded: Hosts that the call has already been sent to.
+            route: The call's route.
 
         Returns:
             The choice, or None if no usable upstream is left.
         """
         candidates = self._candidates(service)
-        own_host = self._choose_own_host(candidates, excluded)
+        own_host = self._choose_own_host(candidates, excluded, route)
         if own_host is not None:
             return own_host
-        own_domain = self._sample(candidates.own_domain, excluded)
-        if own_domain is not None and self._utilization(own_domain) < 1:
+        own_domain = self._sample(candidates.own_domain, excluded, route)
+        if (
+            own_domain is not None
+            and self._utilization(own_domain) < 1
+            and not self._is_poor(own_domain, route)
+        ):
             return self._choose_upstream(own_domain, "own-domain")
-        other_domain = self._sample(candidates.other_domains, excluded)
+        other_domain = self._sample(candidates.other_domains, excluded, route)
         if other_domain is None:
             return (
                 self._choose_upstream(own_domain, "own-domain") if own_domain else None
             )
         if own_domain is None:
             return self._choose_upstream(other_domain, "other-domain")
-        if self._queue_delay_s(other_domain) + 2 * self._one_way_delay_s(
-            other_domain
-        ) < self._queue_delay_s(own_domain):
+        if self._should_spill_over(own_domain, other_domain, route):
             return self._choose_upstream(other_domain, "spill-over")
         return self._choose_upstream(own_domain, "own-domain")
 
+    def _should_spill_over(
+        self,
+        own_domain: UpstreamAnnounced,
+        other_domain: UpstreamAnnounced,
+        route: RouteName,
+    ) -> bool:
+        """Returns whether a hop to another failure domain is worth its cost."""
+        round_trip_s = 2 * self._one_way_delay_s(other_domain)
+        if self._utilization(own_domain) >= 1:
+            own_delay_s = self._queue_delay_s(own_domain)
+            return self._queue_delay_s(other_domain) + round_trip_s < own_delay_s
+        if self._utilization(other_domain) >= 1:
+            return False
+        hop_cost_s = round_trip_s + _CROSS_DOMAIN_GAIN_S
+        own_cost_s = self._cost_s(own_domain, route)
+        return self._cost_s(other_domain, route) + hop_cost_s < own_cost_s
+
     def has_choice(self, service: ServiceName, excluded: Collection[HostId]) -> bool:
         """Returns whether a service has a usable upstream that isn't excluded."""
         candidates = self._candidates(service)
@@ -235,9 +279,12 @@
         return candidates
 
     def _choose_own_host(
-        self, candidates: _Candidates, excluded: Collection[HostId]
+        self,
+        candidates: _Candidates,
+        excluded: Collection[HostId],
+        route: RouteName,
     ) -> UpstreamChoice | None:
-        """Chooses this host's own upstream if it is usable and has spare capacity."""
+        """Chooses this host's own upstream if it has spare capacity and works well."""
         if self._host_id in excluded:
             return None
         for upstream in candidates.own_domain:
@@ -245,19 +292,25 @@
                 break
         else:
             return None
-        load = self._read_own_load()
+        load = self._read_own_load(route)
         if load.queued or load.in_flight >= load.limit * _MAX_OWN_UTILIZATION_RATIO:
             return None
         if not self._ejector.may_send(upstream):
             return None
+        self.record_load(upstream.peer_address, load, route)
+        if self._is_poor(upstream, route):
+            return None
         return UpstreamChoice(upstream, "own-host")
 
     def _sample(
-        self, upstreams: Sequence[UpstreamAnnounced], excluded: Collection[HostId]
+        self,
+        upstreams: Sequence[UpstreamAnnounced],
+        excluded: Collection[HostId],
+        route: RouteName,
     ) -> UpstreamAnnounced | None:
-        """Samples up to two usable upstreams and returns the less utilized one.
+        """Samples up to two usable upstreams and returns the one of less cost.
 
-        If neither has room, one that has is searched for among all.
+        If neither has room or both are poor, all are compared.
         """
         if not upstreams:
             return None
@@ -268,11 +321,31 @@
                 sampled.append(upstream)
                 if len(sampled) == 2:
                     break
-        if not sampled or all(self._utilization(u) >= 1 for u in sampled):
+        if not sampled or all(self._is_poor(u, route) for u in sampled):
             sampled = [u for u in upstreams if self._is_usable(u, excluded)]
         if not sampled:
             return None
-        return min(sampled, key=self._utilization)
+        with_room = [u for u in sampled if self._utilization(u) < 1]
+        if not with_room:
+            return min(sampled, key=self._utilization)
+        return min(
+            with_room, key=lambda upstream: self._crowded_cost_s(upstream, route)
+        )
+
+    def _is_poor(self, upstream: UpstreamAnnounced, route: RouteName) -> bool:
+        """Returns whether an upstream is full, or a call would cost too much there."""
+        if self._utilization(upstream) >= 1:
+            return True
+        excess_s = self._cost_s(upstream, route) - self._costs.mean_work_s(route)
+        return excess_s > _MAX_EXCESS_COST_S
+
+    def _cost_s(self, upstream: UpstreamAnnounced, route: RouteName) -> float:
+        """Returns what a call is expected to cost where there is room, in seconds."""
+        return self._costs.cost_s(upstream.peer_address, route, trio.current_time())
+
+    def _crowded_cost_s(self, upstream: UpstreamAnnounced, route: RouteName) -> float:
+        """Returns the cost with regard to how full the upstream is."""
+        return self._cost_s(upstream, route) * crowding(self._utilization(upstream))
 
     def _is_usable(
         self, upstream: UpstreamAnnounced, excluded: Collection[HostId]
--- a/tests/peers/test_control.py
+++ b/tests/peers/test_control.py
@@ -50,7 +50,7 @@
             Stream(stream.socket),
             identity,
             ignore,
-            lambda: Load(0, 0, 1, 0.0),
+            lambda route: Load(0, 0, 1, 0.0),
             context,
             control.respond,
         )
--- a/tests/peers/test_endless_peers.py
+++ b/tests/peers/test_endless_peers.py
@@ -71,7 +71,11 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(context.hang_ups.run)
             await serve_peer(
-                Stream(stream.socket), make_identity("far"), self, lambda: LOAD, context
+                Stream(stream.socket),
+                make_identity("far"),
+                self,
+                lambda route: LOAD,
+                context,
             )
             nursery.cancel_scope.cancel()
 
--- a/tests/peers/test_pool.py
+++ b/tests/peers/test_pool.py
@@ -50,7 +50,9 @@
         self.streams.append(stream)
         identity = Identity("far", "a", 1, "secret")
         stream = Stream(stream.socket)
-        await serve_peer(stream, identity, self.execute, lambda: LOAD, self.context)
+        await serve_peer(
+            stream, identity, self.execute, lambda route: LOAD, self.context
+        )
 
     async def run(self, task_status):
         async with trio.open_nursery() as nursery:
@@ -67,7 +69,7 @@
     pool = PeerConnectionPool(
         Identity("near", "a", 1, "secret"),
         {},
-        loads_by_address.__setitem__,
+        lambda address, load, route: loads_by_address.__setitem__(address, load),
         lambda *_: None,
     )
     peer = Peer(execute)
--- a/tests/routing/test_balancer.py
+++ b/tests/routing/test_balancer.py
@@ -36,7 +36,7 @@
     fleet = Fleet("site")
     ejector = Ejector()
     balancer = Balancer(
-        fleet, own_host, "a", ejector, lambda: own_load, random.Random(7)
+        fleet, own_host, "a", ejector, lambda route: own_load, random.Random(7)
     )
     default_hosts = {"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
     for host, domain in (hosts or default_hosts).items():
