--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -46,6 +46,9 @@
 _CROSS_DOMAIN_GAIN_S = 0.05
 """Cost that a hop to another failure domain must save where the own one has room."""
 
+_SAME_COST_RATIO = 1.05
+"""Costs within this ratio of the least one are regarded as equal to it."""
+
 _MAX_SAMPLES = 6
 """Random samples before all upstreams are searched for usable ones."""
 
@@ -328,9 +331,20 @@
         with_room = [u for u in sampled if self._utilization(u) < 1]
         if not with_room:
             return min(sampled, key=self._utilization)
-        return min(
-            with_room, key=lambda upstream: self._crowded_cost_s(upstream, route)
-        )
+        return self._choose_among_cheapest(with_room, route)
+
+    def _choose_among_cheapest(
+        self, upstreams: Sequence[UpstreamAnnounced], route: RouteName
+    ) -> UpstreamAnnounced:
+        """Returns one of about the least cost, so that senders don't all choose one."""
+        costs = [self._crowded_cost_s(upstream, route) for upstream in upstreams]
+        max_cost_s = min(costs) * _SAME_COST_RATIO
+        cheapest = [
+            upstream
+            for upstream, cost_s in zip(upstreams, costs, strict=True)
+            if cost_s <= max_cost_s
+        ]
+        return cheapest[int(self._random.random() * len(cheapest))]
 
     def _is_poor(self, upstream: UpstreamAnnounced, route: RouteName) -> bool:
         """Returns whether an upstream is full, or a call would cost too much there."""
