Retries: the fleet's limit is kept where retries arrive

Cause: each host had an equal share of the limit, 0.17 retries in ten seconds at 90 hosts, so that hardly a lost call was sent again. Change: the daemon beside each upstream keeps its part of its service's limit; sub-calls of repeated runs are counted, and a service below that has spent its part stops retries above (docs/design/retries.md). A hop to another failure domain has to save 0.2 s.

--- a/mangospoke/calls.py
+++ b/mangospoke/calls.py
@@ -44,6 +44,17 @@
     LOOK_UP = 4
 
 
+class Repetition(enum.IntEnum):
+    """Whether a request was sent to an upstream before.
+
+    `RETRY`: it was. `INHERITED`: a run that repeats another one calls for it.
+    """
+
+    NONE = 0
+    RETRY = 1
+    INHERITED = 2
+
+
 class RetryAllowance:
     """Number of retries that remain for a call and all of its sub-calls.
 
@@ -88,6 +99,7 @@
             refusing it wastes the work on that request.
         caller: Service of that upstream.
         parent_id: Id of that other request, if known.
+        repetition: Whether it was sent to an upstream before.
         may_wait: Whether a guard may let it wait for its upstream's rate limit. If not,
             there may be room elsewhere, so that it is better refused at once.
         notice: What the upstream said about itself, as the sending daemon passed it on.
@@ -122,6 +134,7 @@
     is_sub_call: bool = False
     caller: ServiceName = ServiceName("")
     parent_id: RequestId = RequestId("")
+    repetition: Repetition = Repetition.NONE
     may_wait: bool = True
     notice: UpstreamNotice | None = None
     entered_at: float = 0.0
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -20,6 +20,8 @@
 from mangospoke.daemon.supervision import Service
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
+from mangospoke.guard.retry_arrivals import RetryArrivals
+from mangospoke.guard.retry_gate import RetryGate
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
@@ -42,7 +44,7 @@
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
-from mangospoke.routing.retries import FleetRetryBudget
+from mangospoke.routing.retries import UnlimitedRetryBudget
 from mangospoke.shutdown import Shutdown
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
@@ -58,9 +60,6 @@
 """Parts of the allowed excess that are used. The rest covers an account's previous home
 that hasn't learned yet of the host that replaces it."""
 
-_RETRY_BUDGET_RATIO = 0.25
-"""Part of the fleet's retries that is used, since a retry repeats sub-calls too."""
-
 _MAX_REROUTES = 2
 _DRAIN_NOTICE_RATIO = 0.35
 """Part of `drain_s` in which new requests are still accepted."""
@@ -132,7 +131,6 @@
         self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
         self.decisions.read_shutdown_status = shutdown.status
-        retries = guarantees.retries
         dispatcher = Dispatcher(
             settings.host.id,
             self.guard.execute,
@@ -140,11 +138,7 @@
             balancer,
             self.ejector,
             self.decisions,
-            FleetRetryBudget(
-                retries.min_retries * _RETRY_BUDGET_RATIO,
-                retries.window_s,
-                self._count_hosts,
-            ),
+            UnlimitedRetryBudget(),
             _MAX_REROUTES,
             shutdown,
         )
@@ -173,6 +167,15 @@
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
             balancer.delay_s, trio.current_time()
         )
+        self.guard.retry_gate = RetryGate(
+            RetryArrivals(guarantees.retries),
+            lambda: balancer.count_upstreams(hosted_settings.upstream_service),
+            lambda: bool(callees.services(trio.current_time())),
+            lambda: any(
+                balancer.refuses_retries(service)
+                for service in callees.services(trio.current_time())
+            ),
+        )
         self.handle_heartbeat = platform.heartbeat_handler(
             self.registrar.handle_heartbeat
         )
@@ -217,9 +220,6 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
-    def _count_hosts(self) -> int:
-        return len(self.directory)
-
     def _make_homes(self) -> HomeDirectory:
         rates = self.hosted_settings.guarantees.rates
         return HomeDirectory(
--- a/mangospoke/daemon/hosting.py
+++ b/mangospoke/daemon/hosting.py
@@ -8,22 +8,10 @@
 from dataclasses import dataclass
 
 from mangospoke.conf.settings import Settings
+from mangospoke.guard.retry_arrivals import RetryLimit
 from mangospoke.ids import FailureDomainId, ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class FleetRetryLimit:
-    """Requests that the fleet may retry at another upstream of the same service.
-
-    Attributes:
-        window_s: Length of the window in which retries are counted, in seconds.
-        min_retries: Retries allowed per window, however few requests there are.
-    """
-
-    window_s: float
-    min_retries: float
-
-
 @dataclass(frozen=True, slots=True)
 class RateExcessLimits:
     """By how much all hosts together may exceed a client account's rate and burst.
@@ -56,7 +44,7 @@
     withdrawal_s: float
     drain_s: float
     stop_s: float
-    retries: FleetRetryLimit
+    retries: RetryLimit
     rates: RateExcessLimits
 
 
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -22,6 +22,7 @@
 from mangospoke.guard.performance import UpstreamPerformance
 from mangospoke.guard.poison import QuarantineController
 from mangospoke.guard.rate_limit import StatementSource
+from mangospoke.guard.retry_gate import RetryGate
 from mangospoke.guard.statements import UpstreamStatements
 from mangospoke.guard.upstream import UpstreamConnectionPool
 from mangospoke.http.client import ConnectError, open_connection
@@ -58,6 +59,8 @@
             for a short notice period, then refused.
         leaving_listeners: Called when the upstream says in a response that it leaves.
         read_downstream_delay_s: Reads the highest queue delay of downstream services.
+        retry_gate: Bounds the repeated requests that reach the upstream; by default,
+            only their senders do.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         self.statements.on_leaving = self._handle_leaving
         self.quarantine: QuarantineController | None = None
         self.read_downstream_delay_s: Callable[[], float] = _zero_delay
+        self.retry_gate: RetryGate | None = None
         self._refuse_from = math.inf
         self._fleet = fleet
         self._limits = limits
@@ -256,8 +260,12 @@
             work_ms=round(self.performance.work_s(route) * 1000),
             failure_percent=round(self.performance.failure_ratio(now) * 100),
             slowness_percent=round(self.performance.slowness_ratio(now) * 100),
+            refuses_retries=self._refuses_retries(),
         )
 
+    def _refuses_retries(self) -> bool:
+        return self.retry_gate is not None and not self.retry_gate.is_open()
+
     def _add_downstream_delay(self, load: Load) -> Load:
         delay_s = self.read_downstream_delay_s()
         if delay_s == 0:
@@ -279,6 +287,8 @@
 
     async def _execute(self, call: Call) -> Outcome:
         refused = self._check_available(call)
+        if refused is None and self.retry_gate is not None:
+            refused = self.retry_gate.check(call)
         if refused is not None:
             return refused
         account = self._fleet.configuration.accounts_by_id.get(call.account_id)
--- a/mangospoke/ingress/callees.py
+++ b/mangospoke/ingress/callees.py
@@ -69,6 +69,15 @@
         calls.decay(now)
         calls.count += 1
 
+    def services(self, now: float) -> list[ServiceName]:
+        """Returns the services that the upstream calls."""
+        callees = []
+        for service, calls in self._calls_by_service.items():
+            calls.decay(now)
+            if calls.count >= _MIN_CALLS:
+                callees.append(service)
+        return callees
+
     def delay_s(
         self, read_delay_s: Callable[[ServiceName], float], now: float
     ) -> float:
@@ -87,9 +96,7 @@
         # call this method again, which then returns the cached value.
         self._refreshed_at = now
         max_delay_s = 0.0
-        for service, calls in self._calls_by_service.items():
-            calls.decay(now)
-            if calls.count >= _MIN_CALLS:
-                max_delay_s = max(max_delay_s, read_delay_s(service))
+        for service in self.services(now):
+            max_delay_s = max(max_delay_s, read_delay_s(service))
         self._delay_s = max_delay_s * _PROPAGATION_RATIO
         return self._delay_s
--- a/mangospoke/ingress/dispatch.py
+++ b/mangospoke/ingress/dispatch.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from mangospoke.calls import Call, KeyUse, SendStatus
+from mangospoke.calls import Call, KeyUse, Repetition, SendStatus
 from mangospoke.guard.idempotency_keys import add_record_location
 from mangospoke.ids import HostId
 from mangospoke.logservice.records import UpstreamAnnounced
@@ -137,6 +137,8 @@
             tried_hosts.add(choice.upstream.host_id)
             if isinstance(outcome, Unanswered):
                 call.earlier = outcome
+            if outcome is not None and _has_arrived(outcome):
+                call.repetition = Repetition.RETRY
             call.send_status = SendStatus.UNSENT
             call.may_wait = not (
                 reroutes_left
@@ -200,6 +202,11 @@
     )
 
 
+def _has_arrived(outcome: Outcome) -> bool:
+    """Returns whether a failed call may have arrived at its upstream."""
+    return not isinstance(outcome, Refused) or outcome.reason in _REFUSALS_BY_UPSTREAM
+
+
 def _may_reroute(call: Call, outcome: Outcome) -> bool:
     """Returns whether a call may be sent to another upstream without using a retry.
 
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from mangospoke.calls import Call, RetryAllowance
+from mangospoke.calls import Call, Repetition, RetryAllowance
 from mangospoke.conf.declarations import Access
 from mangospoke.conf.effective import (
     EffectiveAccount,
@@ -101,6 +101,9 @@
         request.request_id = call.request_id
         if call.is_sub_call:
             self.callees.record_call(service, trio.current_time())
+            parent = self._executions.find_by_request_id(call.parent_id)
+            if parent is not None and parent.call.repetition is not Repetition.NONE:
+                call.repetition = Repetition.INHERITED
         else:
             # Before a token is taken: it may have come from another host.
             overload_refusal = self._refuse_if_overloaded(call)
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -329,6 +329,7 @@
         is_sub_call=call.is_sub_call,
         may_wait=call.may_wait,
         notice=notice,
+        repetition=int(call.repetition),
     )
 
 
--- a/mangospoke/peers/messages.py
+++ b/mangospoke/peers/messages.py
@@ -97,6 +97,7 @@
         is_sub_call: Whether an upstream sent it while it ran another request.
         may_wait: Whether it may wait for the upstream's rate limit.
         notice: What the upstream said about itself, as the sender passed it on.
+        repetition: Value of the call's `Repetition`.
     """
 
     request_id: RequestId
@@ -119,6 +120,7 @@
     is_sub_call: bool = False
     may_wait: bool = True
     notice: UpstreamNotice | None = None
+    repetition: int = 0
 
 
 class BodyChunk(_Frame, frozen=True, tag=11):
@@ -152,6 +154,8 @@
             upstream, without its sub-calls; 0 if unknown.
         failure_percent: Part of the upstream's recent calls that it failed.
         slowness_percent: How long work takes on its machine now; 100 is as usual.
+        refuses_retries: Whether it, or a service that it calls, has got as many
+            repeated requests as it may.
     """
 
     in_flight: int
@@ -164,6 +168,7 @@
     work_ms: int = 0
     failure_percent: int = 0
     slowness_percent: int = 100
+    refuses_retries: bool = False
 
 
 class ResponseHead(_Frame, frozen=True, tag=20):
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -5,7 +5,7 @@
 import trio
 from loguru import logger
 
-from mangospoke.calls import Call, KeyUse, RetryAllowance
+from mangospoke.calls import Call, KeyUse, Repetition, RetryAllowance
 from mangospoke.conf.declarations import Importance
 from mangospoke.http.bodies import Body, IncompleteBodyError
 from mangospoke.http.server import ConnectionContext
@@ -156,6 +156,7 @@
         is_sub_call=head.is_sub_call,
         may_wait=head.may_wait,
         notice=head.notice,
+        repetition=Repetition(head.repetition),
         entered_at=trio.current_time(),
     )
 
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -16,11 +16,11 @@
     Settings,
 )
 from mangospoke.daemon.hosting import (
-    FleetRetryLimit,
     Guarantees,
     HostedSettings,
     RateExcessLimits,
 )
+from mangospoke.guard.retry_arrivals import RetryLimit
 from mangospoke.ids import FailureDomainId, HostId, ServiceName, SiteId
 from mangospoke.platform.bounds import Bounds
 
@@ -141,9 +141,10 @@
         withdrawal_s=bounds.duration_s("revoke", 5.0),
         drain_s=bounds.duration_s("drain", 2.0),
         stop_s=bounds.duration_s("grace", 6.0),
-        retries=FleetRetryLimit(
+        retries=RetryLimit(
             window_s=bounds.duration_s("budgetWindow", 10.0),
             min_retries=bounds.number("budgetSlack", 0.0),
+            max_ratio=bounds.number("retryBudget", 0.0),
         ),
         rates=RateExcessLimits(
             window_s=bounds.duration_s("quotaWindow", 5.0),
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -43,7 +43,7 @@
 _MAX_EXCESS_COST_S = 0.1
 """Cost beyond a route's usual work from which on an upstream is a poor choice."""
 
-_CROSS_DOMAIN_GAIN_S = 0.05
+_CROSS_DOMAIN_GAIN_S = 0.2
 """Cost that a hop to another failure domain must save where the own one has room."""
 
 _SAME_COST_RATIO = 1.05
@@ -179,6 +179,15 @@
         """
         return self._mean_s(service, lambda load: load.deep_delay_ms)
 
+    def refuses_retries(self, service: ServiceName) -> bool:
+        """Returns whether an upstream of a service has said that it does."""
+        candidates = self._candidates(service)
+        for upstream in (*candidates.own_domain, *candidates.other_domains):
+            observed = self._recent_load(upstream)
+            if observed is not None and observed.load.refuses_retries:
+                return True
+        return False
+
     def _mean_s(self, service: ServiceName, read_ms: Callable[[Load], float]) -> float:
         """Averages a value of the known loads and converts it from ms to seconds."""
         candidates = self._candidates(service)
--- a/mangospoke/routing/retries.py
+++ b/mangospoke/routing/retries.py
@@ -1,10 +1,7 @@
 """Retry budgets, which bound the extra load by retries while a service is failing."""
 
-from collections.abc import Callable
 from typing import Protocol
 
-import trio
-
 from mangospoke.ids import ServiceName
 
 _TOKENS_PER_SUCCESS = 0.1
@@ -48,56 +45,12 @@
         return True
 
 
-class FleetRetryBudget:
-    """This host's equal share of a retry limit for the whole fleet, by service.
-
-    The limit holds for any time window, so that the budget is refilled at a constant
-    rate, by one capacity in each window. Successes don't refill it, since this host
-    doesn't know how many calls further down the chain a retry causes.
-    """
-
-    def __init__(
-        self, max_retries: float, window_s: float, count_hosts: Callable[[], int]
-    ) -> None:
-        """Initializes the budget.
-
-        Args:
-            max_retries: Retries that the fleet may make of a service's requests within
-                any window.
-            window_s: Length of the window in seconds.
-            count_hosts: Returns the number of hosts that share the limit.
-        """
-        self._max_retries = max_retries
-        self._window_s = window_s
-        self._count_hosts = count_hosts
-        self._spent_by_service: dict[ServiceName, _SpentRetries] = {}
+class UnlimitedRetryBudget:
+    """Leaves it to the daemons beside the upstreams to refuse retries."""
 
     def record_success(self, service: ServiceName) -> None:
-        """Does nothing: successes don't refill this budget."""
+        """Does nothing."""
 
     def try_spend(self, service: ServiceName) -> bool:
-        """Takes one retry out of the budget and returns whether there was one left."""
-        now = trio.current_time()
-        # Within one window a full bucket and its refill can both be spent, so that
-        # each gets half of the limit.
-        capacity = self._max_retries / max(1, self._count_hosts()) / 2
-        spent = self._spent_by_service.get(service)
-        if spent is None:
-            spent = self._spent_by_service[service] = _SpentRetries(now, 0.0)
-        refill = (now - spent.updated_at) * capacity / self._window_s
-        spent.amount = max(0.0, spent.amount - refill)
-        spent.updated_at = now
-        if spent.amount + 1 > max(1.0, capacity):
-            return False
-        spent.amount += 1
+        """Returns True."""
         return True
-
-
-class _SpentRetries:
-    """Retries that were taken out of a bucket and not refilled yet."""
-
-    __slots__ = ("amount", "updated_at")
-
-    def __init__(self, updated_at: float, amount: float) -> None:
-        self.updated_at = updated_at
-        self.amount = amount
--- a/mangospoke/verdicts.py
+++ b/mangospoke/verdicts.py
@@ -44,6 +44,7 @@
     NO_UPSTREAM = "no-upstream"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     OTHER_INSTANCE = "other-instance"
+    RETRIES_SPENT = "retries-spent"
     CONFIGURATION_STALE = "configuration-stale"
     PEER_UNREACHABLE = "peer-unreachable"
     DRAINING = "draining"
@@ -129,6 +130,7 @@
         502, retry_after_s=1, retryable=True
     ),
     RefusalReason.OTHER_INSTANCE: RefusalRule(503, retry_after_s=1, retryable=True),
+    RefusalReason.RETRIES_SPENT: RefusalRule(503, retry_after_s=1),
     RefusalReason.CONFIGURATION_STALE: RefusalRule(503, retry_after_s=1),
     RefusalReason.PEER_UNREACHABLE: RefusalRule(502, retry_after_s=1, retryable=True),
     RefusalReason.DRAINING: RefusalRule(503, retry_after_s=1, retryable=True),
