Membership: an upstream that has left stays so, and stray heartbeats change nothing

Change: a departure is an instance and the latest start that has left. It is final, kept in the host's record (the last 8), taken over by the next daemon from its own read of the topic before it uses an upstream or writes, and acknowledged once it is written, after 0.7 s at the latest. What an upstream says of its leaving in a response counts as well. A heartbeat that doesn't name this host's address, domain (or none) and a configured service (or the host's own) changes nothing.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -7,6 +7,7 @@
 
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import replace
 
 import trio
@@ -25,9 +26,10 @@
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
-from mangospoke.ids import HostId, Incarnation
+from mangospoke.ids import HostId, Incarnation, ServiceName
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.ingress.hosted import HostedRequestHandler
+from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.observability.lag import LoopLagMonitor
 from mangospoke.observability.logs import EventLog
@@ -46,6 +48,7 @@
 from mangospoke.shutdown import Shutdown
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
+from mangospoke.state.heartbeats import make_heartbeat_check
 from mangospoke.state.host_directory import HostDirectory
 from mangospoke.state.keyed_following import KeyedFollowing
 from mangospoke.state.registrar import HostRegistrar
@@ -103,6 +106,9 @@
             self.guard,
             platform.log,
             platform.topics.hosts,
+            make_heartbeat_check(
+                hosted_settings.upstream_address, domain, self._is_known_service
+            ),
         )
         self.registrar.written_listeners.append(self.directory.handle_written)
         self.ejector = Ejector()
@@ -172,9 +178,7 @@
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
             balancer.delay_s, trio.current_time()
         )
-        self.handle_heartbeat = platform.heartbeat_handler(
-            self.registrar.handle_heartbeat
-        )
+        self.handle_heartbeat = platform.heartbeat_handler(self.registrar)
         self.connections = ConnectionContext(
             settings.limits,
             WorkCounter(),
@@ -199,7 +203,7 @@
             self.freshness,
             self.control,
         )
-        self.following.check_written = self.registrar.check_written
+        self.following.check_written = self._handle_stored_hosts
         self.following.peers.handle_newest = self.registrar.check_written
 
     def reload(self, hosted_settings: HostedSettings) -> None:
@@ -216,6 +220,18 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
+    def _is_known_service(self, service: ServiceName) -> bool:
+        return (
+            service == self.hosted_settings.upstream_service
+            or service in self.fleet.configuration.services_by_name
+        )
+
+    def _handle_stored_hosts(
+        self, newest: Sequence[KeyedRecord], sent_at: float, era: int | None
+    ) -> None:
+        self.registrar.take_over(newest)
+        self.registrar.check_written(newest, sent_at, era)
+
     def _count_hosts(self) -> int:
         return len(self.directory)
 
--- a/mangospoke/daemon/platform_adapter.py
+++ b/mangospoke/daemon/platform_adapter.py
@@ -10,8 +10,8 @@
 from mangospoke.ingress.dialect import CallerDialect
 from mangospoke.logservice.calls import LogTransport
 from mangospoke.logservice.keyed import KeyedLog
+from mangospoke.state.heartbeats import HeartbeatReceiver
 from mangospoke.state.keyed_following import KeyedTopics
-from mangospoke.state.registrar import Heartbeat
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,5 +35,5 @@
     read_configuration: Callable[[bytes], EffectiveConfiguration | None]
     caller_dialect: CallerDialect
     upstream_dialect: UpstreamDialect
-    heartbeat_handler: Callable[[Callable[[Heartbeat], bool]], RequestHandler]
+    heartbeat_handler: Callable[[HeartbeatReceiver], RequestHandler]
     read_hosted_settings: Callable[[], HostedSettings]
--- a/mangospoke/logservice/records.py
+++ b/mangospoke/logservice/records.py
@@ -17,6 +17,7 @@
     FailureDomainId,
     HostId,
     Incarnation,
+    InstanceId,
     ServiceName,
 )
 
@@ -108,6 +109,19 @@
     ABSENT = "absent"
 
 
+class Departure(Struct, frozen=True, array_like=True):
+    """Process runs of an upstream that have left for good.
+
+    Attributes:
+        instance: Their instance.
+        last_start_ms: All its runs that started until then have left, in Unix
+            milliseconds.
+    """
+
+    instance: InstanceId
+    last_start_ms: int
+
+
 class UpstreamAnnounced(Record, frozen=True, kw_only=True, tag="upstream-announced"):
     """Announces an upstream and the daemon on its host, or a change of their state.
 
@@ -125,6 +139,8 @@
             that is completed late doesn't undo a later one.
         daemon_incarnation: Incarnation of the daemon, during which several incarnations
             of the upstream may run. The daemon's in-memory state is lost with it.
+        departures: Process runs of the upstream that have left for good, for the next
+            daemon on this host.
     """
 
     host_id: HostId
@@ -138,6 +154,7 @@
     operations_address: str = ""
     sequence: int = 0
     daemon_incarnation: Incarnation = Incarnation(0)
+    departures: tuple[Departure, ...] = ()
 
 
 class UpstreamLeft(Record, frozen=True, kw_only=True, tag="upstream-left"):
--- a/mangospoke/platform/heartbeats.py
+++ b/mangospoke/platform/heartbeats.py
@@ -1,18 +1,17 @@
 """Handles heartbeats of this host's upstream, sent to the `control` address."""
 
-from collections.abc import Callable
-
 import msgspec
 from loguru import logger
 from msgspec import Struct
 
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
-from mangospoke.ids import InstanceId, ServiceName
+from mangospoke.ids import FailureDomainId, InstanceId, ServiceName
 from mangospoke.platform.bounds import parse_duration_ms
-from mangospoke.state.registrar import Heartbeat, HeartbeatState
+from mangospoke.state.heartbeats import Heartbeat, HeartbeatReceiver, HeartbeatState
 
 _INSTANCES_PREFIX = "/instances/"
+_MAX_INSTANCE_LENGTH = 200
 _STATES_BY_NAME = {
     "ready": HeartbeatState.SERVING,
     "draining": HeartbeatState.DRAINING,
@@ -25,6 +24,7 @@
 
     service: str
     slots: int
+    zone: str = ""
 
 
 class _UpstreamStatus(Struct, frozen=True, rename="camel"):
@@ -58,44 +58,31 @@
 class HeartbeatRequestHandler:
     """Handles the upstream's heartbeat and deregistration requests.
 
-    The callback returns whether it accepted the heartbeat.
+    A departure is acknowledged once it is recorded, so that it binds the next daemon
+    on this host too.
     """
 
-    def __init__(self, on_heartbeat: Callable[[Heartbeat], bool]) -> None:
-        self._on_heartbeat = on_heartbeat
-        self._last_heartbeat: Heartbeat | None = None
+    def __init__(self, receiver: HeartbeatReceiver) -> None:
+        self._receiver = receiver
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handles `PUT /instances/ID` and `DELETE /instances/ID`."""
         instance = InstanceId(request.path.removeprefix(_INSTANCES_PREFIX))
-        if not request.path.startswith(_INSTANCES_PREFIX) or not instance:
+        is_instance = 0 < len(instance) <= _MAX_INSTANCE_LENGTH
+        if not request.path.startswith(_INSTANCES_PREFIX) or not is_instance:
             return _build_response(404)
         if request.method == b"DELETE":
-            return self._handle_deregistration(instance)
+            self._receiver.handle_deregistration(instance)
+            await self._receiver.wait_recorded()
+            return _build_response(200)
         if request.method != b"PUT":
             return _build_response(405)
         heartbeat = _parse_heartbeat(instance, request.body.content or b"")
         if heartbeat is None:
             return _build_response(400)
-        if self._on_heartbeat(heartbeat):
-            self._last_heartbeat = heartbeat
-        return _build_response(200)
-
-    def _handle_deregistration(self, instance: InstanceId) -> HttpResponse:
-        last_heartbeat = self._last_heartbeat
-        if last_heartbeat is not None and last_heartbeat.instance == instance:
-            self._on_heartbeat(
-                Heartbeat(
-                    instance=instance,
-                    service=last_heartbeat.service,
-                    address=last_heartbeat.address,
-                    slots=last_heartbeat.slots,
-                    state=HeartbeatState.LEAVING,
-                    started_at_ms=last_heartbeat.started_at_ms,
-                    sequence=last_heartbeat.sequence + 1,
-                    cold_left_ms=0,
-                )
-            )
+        self._receiver.handle_heartbeat(heartbeat)
+        if heartbeat.state is not HeartbeatState.SERVING:
+            await self._receiver.wait_recorded()
         return _build_response(200)
 
 
@@ -116,6 +103,7 @@
             started_at_ms=body.born,
             sequence=body.status.seq,
             cold_left_ms=int(parse_duration_ms(body.status.cold_left)),
+            failure_domain=FailureDomainId(body.info.zone),
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         logger.bind(event="heartbeat_unreadable", instance=instance).warning(
--- a/mangospoke/platform/program.py
+++ b/mangospoke/platform/program.py
@@ -31,8 +31,6 @@
         read_configuration=read_configuration,
         caller_dialect=CALLER_DIALECT,
         upstream_dialect=UPSTREAM_DIALECT,
-        heartbeat_handler=lambda on_heartbeat: (
-            HeartbeatRequestHandler(on_heartbeat).handle
-        ),
+        heartbeat_handler=lambda receiver: HeartbeatRequestHandler(receiver).handle,
         read_hosted_settings=read_settings,
     )
--- /dev/null
+++ b/mangospoke/state/heartbeats.py
@@ -0,0 +1,97 @@
+"""Heartbeats of a host's upstream, and which of them can be of that upstream.
+
+Failure: another writer on the host sends a well-formed heartbeat. One that is taken for
+a new start of the upstream takes the sound one out of use.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from mangospoke.ids import FailureDomainId, InstanceId, ServiceName
+
+
+class HeartbeatState(Enum):
+    """The state that an upstream reports of itself."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """One heartbeat of an upstream.
+
+    Attributes:
+        instance: Id of this process run of the upstream.
+        service: The service that the upstream runs.
+        address: IP and port at which it takes requests.
+        slots: Requests that it runs at once.
+        state: Its state.
+        started_at_ms: Wall-clock milliseconds at its start; 0 if not reported.
+        sequence: Number of the heartbeat within the process run.
+        cold_left_ms: Remaining warm-up time in milliseconds.
+        failure_domain: Failure domain that it names; empty if not reported.
+    """
+
+    instance: InstanceId
+    service: ServiceName
+    address: str
+    slots: int
+    state: HeartbeatState
+    started_at_ms: int
+    sequence: int
+    cold_left_ms: int
+    failure_domain: FailureDomainId = FailureDomainId("")
+
+    def is_same_run(self, other: "Heartbeat") -> bool:
+        """Whether both are of one process run."""
+        return (self.instance, self.started_at_ms) == (
+            other.instance,
+            other.started_at_ms,
+        )
+
+
+class HeartbeatReceiver(Protocol):
+    """What handles the messages of this host's upstream."""
+
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Processes a heartbeat; returns False if it is ignored."""
+
+    def handle_deregistration(self, instance: InstanceId) -> None:
+        """Processes that a process run of the upstream has left."""
+
+    async def wait_recorded(self) -> None:
+        """Waits until what was processed outlives this process, or too long."""
+
+
+HeartbeatCheck = Callable[[Heartbeat], str | None]
+"""Returns why a heartbeat can't be of this host's upstream; None if it can."""
+
+
+def make_heartbeat_check(
+    address: str,
+    failure_domain: FailureDomainId,
+    is_known_service: Callable[[ServiceName], bool],
+) -> HeartbeatCheck:
+    """Returns a check of heartbeats against what is known of this host.
+
+    Args:
+        address: Address at which this host's upstream takes requests; empty if that
+            isn't known.
+        failure_domain: This host's failure domain.
+        is_known_service: Whether a service is configured.
+    """
+
+    def find_mismatch(heartbeat: Heartbeat) -> str | None:
+        if address and heartbeat.address != address:
+            return f"its address {heartbeat.address!r} isn't that of this host"
+        if heartbeat.failure_domain not in ("", failure_domain):
+            return f"it names the failure domain {heartbeat.failure_domain!r}"
+        if not is_known_service(heartbeat.service):
+            return f"the service {heartbeat.service!r} isn't configured"
+        return None
+
+    return find_mismatch
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -5,12 +5,11 @@
 alive isn't written: it is only reachable through the daemon, which notices itself.
 """
 
+import dataclasses
 import math
-import random
 import secrets
+import time
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
-from enum import Enum
 
 import msgspec
 import trio
@@ -20,66 +19,30 @@
 from mangospoke.conf.settings import Settings
 from mangospoke.guard.guard import Guard
 from mangospoke.ids import Incarnation, InstanceId, ServiceName
-from mangospoke.logservice.calls import (
-    LogRefusedError,
-    LogUnavailableError,
-    WriterFencedError,
-    WriterOutOfOrderError,
-)
-from mangospoke.logservice.keyed import KeyedLog, KeyedRecord, WriteId
+from mangospoke.logservice.keyed import KeyedLog, KeyedRecord
 from mangospoke.logservice.records import UpstreamAnnounced, UpstreamState
+from mangospoke.state.departures import Departures
+from mangospoke.state.heartbeats import Heartbeat, HeartbeatCheck, HeartbeatState
 from mangospoke.state.host_directory import find_host
-from mangospoke.state.membership import announcement_order
+from mangospoke.state.host_record_writer import HostRecordWriter
 
-_WRITE_RETRY_DELAY_S = 0.3
-_MAX_REWRITES_PER_S = 200
-"""Records that all hosts together write again when the log service forgot them."""
+_MAX_ACKNOWLEDGMENT_DELAY_S = 0.7
+"""Longest wait for a departure's record before it is acknowledged without one. An
+upstream takes a response that comes after a second for none."""
+
+_MAX_PENDING_HEARTBEATS = 16
+"""Heartbeats of different runs and states that are kept until the host's earlier record
+is known."""
 
 _DEFAULT_MAX_CONNECTIONS = 1_000_000
 """Connection limit of an upstream, as heartbeats don't report one."""
 
 
-class HeartbeatState(Enum):
-    """The state that an upstream reports of itself."""
-
-    SERVING = "serving"
-    DRAINING = "draining"
-    LEAVING = "leaving"
-
-
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """One heartbeat of an upstream.
-
-    Attributes:
-        instance: Id of this process run of the upstream.
-        service: The service that the upstream runs.
-        address: IP and port at which it takes requests.
-        slots: Requests that it runs at once.
-        state: Its state.
-        started_at_ms: Wall-clock milliseconds at its start; 0 if not reported.
-        sequence: Number of the heartbeat within the process run.
-        cold_left_ms: Remaining warm-up time in milliseconds.
-    """
-
-    instance: InstanceId
-    service: ServiceName
-    address: str
-    slots: int
-    state: HeartbeatState
-    started_at_ms: int
-    sequence: int
-    cold_left_ms: int
-
-
 class HostRegistrar:
     """Keeps the guard and the host's record in line with the upstream's heartbeats.
 
     Attributes:
         stopping: Whether the daemon is stopping, so that its host gets no requests.
-        rewrite_count: Times that the host's record was to be written again because the
-            log service had forgotten it.
-        written_listeners: Called with each record once the log service has it.
     """
 
     def __init__(
@@ -90,6 +53,7 @@
         guard: Guard,
         log: KeyedLog,
         topic: str,
+        find_mismatch: HeartbeatCheck = lambda heartbeat: None,
     ) -> None:
         """Initializes the registrar with a host record without an upstream.
 
@@ -100,40 +64,82 @@
             guard: The guard in front of the upstream.
             log: The log service.
             topic: The keyed topic of the host records.
+            find_mismatch: Returns why a heartbeat can't be of this host's upstream.
         """
         self.stopping = False
-        self.rewrite_count = 0
-        self.written_listeners: list[Callable[[UpstreamAnnounced], None]] = []
         self._settings = settings
         self._incarnation = incarnation
         self._service = service
         self._guard = guard
-        self._log = log
-        self._topic = topic
+        self._find_mismatch = find_mismatch
+        self._departures = Departures()
+        self._took_over = trio.Event()
+        self._pending_heartbeats: list[Heartbeat] = []
+        self._logged_heartbeat: tuple[InstanceId, int, str] | None = None
         self._latest_heartbeat: Heartbeat | None = None
         self._sequence = 0
-        self._epoch: int = incarnation
-        self._epoch_step = 1
-        self._write_count = 0
-        self._desired_record = self._make_record(UpstreamState.ABSENT, 0)
-        self._written_record: UpstreamAnnounced | None = None
-        self._written_at = -math.inf
-        self._written_era: int | None = None
-        self._desired_changed = trio.Event()
-        self._all_written = trio.Event()
-        self._rewrite_delay_s = 0.0
+        self._writer = HostRecordWriter(
+            incarnation, log, topic, self._make_record(UpstreamState.ABSENT, 0)
+        )
         guard.leaving_listeners.append(self._handle_leaving)
 
+    @property
+    def rewrite_count(self) -> int:
+        """Times that the log service had forgotten the host's record."""
+        return self._writer.rewrite_count
+
+    @property
+    def written_listeners(self) -> list[Callable[[UpstreamAnnounced], None]]:
+        """Called with each record once the log service has it."""
+        return self._writer.written_listeners
+
+    def take_over(self, newest: Sequence[KeyedRecord]) -> None:
+        """Takes over what earlier daemons on this host recorded; needed once.
+
+        Until then nothing is written, which would replace that record, and no upstream
+        is used: it may have left before this process started.
+
+        Args:
+            newest: The newest record of each host in the log service.
+        """
+        if self._took_over.is_set():
+            return
+        self._took_over.set()
+        stored = find_host(newest, self._settings.host.id)
+        if stored is not None:
+            self._departures.restore(stored.departures)
+        self._replace_desired_record(
+            self._writer.record.state, self._writer.record.slots
+        )
+        pending, self._pending_heartbeats = self._pending_heartbeats, []
+        for heartbeat in pending:
+            self.handle_heartbeat(heartbeat)
+
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
-        """Processes a heartbeat; returns False if it is out of date.
+        """Processes a heartbeat; returns False if it is ignored.
 
-        A heartbeat is out of date, and ignored, if a later one of the same process
-        run or one of a later run was processed already.
+        A heartbeat is ignored if it can't be of this host's upstream, if its process
+        run has left, or if a later one of the same run or one of a later run was
+        processed already.
         """
+        if not self._took_over.is_set():
+            self._keep_pending(heartbeat)
+            return True
+        is_serving = heartbeat.state is HeartbeatState.SERVING
+        mismatch = self._find_mismatch(heartbeat)
+        if mismatch is not None and (is_serving or not self._is_latest_run(heartbeat)):
+            self._log_ignored(heartbeat, mismatch)
+            return False
+        if self._departures.has_left(heartbeat.instance, heartbeat.started_at_ms):
+            if is_serving:
+                self._log_ignored(heartbeat, "this run of the upstream has left")
+            return not is_serving
+        if not is_serving:
+            self._add_departure(heartbeat.instance, heartbeat.started_at_ms)
         if self._is_outdated(heartbeat):
             return False
         before, self._latest_heartbeat = self._latest_heartbeat, heartbeat
-        if heartbeat.state is HeartbeatState.SERVING:
+        if is_serving:
             self._attach(heartbeat)
         elif before is None or before.instance != heartbeat.instance:
             # The first heartbeat that this daemon gets of an upstream that is
@@ -144,16 +150,65 @@
             self._drain(heartbeat)
         return True
 
+    def _keep_pending(self, heartbeat: Heartbeat) -> None:
+        """Keeps a heartbeat, in place of an earlier one of its run in that state."""
+        self._pending_heartbeats = [
+            each
+            for each in self._pending_heartbeats
+            if not each.is_same_run(heartbeat) or each.state is not heartbeat.state
+        ][1 - _MAX_PENDING_HEARTBEATS :]
+        self._pending_heartbeats.append(heartbeat)
+
+    def _is_latest_run(self, heartbeat: Heartbeat) -> bool:
+        latest = self._latest_heartbeat
+        return latest is not None and latest.is_same_run(heartbeat)
+
+    def _log_ignored(self, heartbeat: Heartbeat, reason: str) -> None:
+        line = (heartbeat.instance, heartbeat.started_at_ms, reason)
+        if line == self._logged_heartbeat:
+            return
+        self._logged_heartbeat = line
+        logger.bind(
+            event="heartbeat_ignored",
+            instance=heartbeat.instance,
+            service=heartbeat.service,
+            started_at_ms=heartbeat.started_at_ms,
+            sequence=heartbeat.sequence,
+        ).warning("ignoring heartbeats of upstream {}: {}", heartbeat.instance, reason)
+
+    def handle_deregistration(self, instance: InstanceId) -> None:
+        """Processes that a process run of the upstream has left.
+
+        The message doesn't say when the run started. If this process hasn't heard of
+        it, all runs of the instance that started until now have left.
+        """
+        latest = self._latest_heartbeat
+        if latest is None or latest.instance != instance:
+            self._add_departure(instance, time.time_ns() // 1_000_000)
+            return
+        self.handle_heartbeat(
+            dataclasses.replace(
+                latest, state=HeartbeatState.LEAVING, sequence=latest.sequence + 1
+            )
+        )
+
+    def _add_departure(self, instance: InstanceId, last_start_ms: int) -> None:
+        if not self._departures.add(instance, last_start_ms):
+            return
+        logger.bind(
+            event="departure", instance=instance, last_start_ms=last_start_ms
+        ).info("upstream {} has left or is about to", instance)
+        record = self._writer.record
+        self._replace_desired_record(record.state, record.slots)
+
     def _is_outdated(self, heartbeat: Heartbeat) -> bool:
         latest = self._latest_heartbeat
         if latest is None:
             return False
-        if heartbeat.instance == latest.instance:
-            same_start = heartbeat.started_at_ms == latest.started_at_ms
-            if same_start and latest.state is HeartbeatState.LEAVING:
-                return heartbeat.state is not HeartbeatState.LEAVING
-            if same_start:
-                return heartbeat.sequence < latest.sequence
+        if latest.is_same_run(heartbeat):
+            # A departure isn't undone, so none is out of date.
+            is_serving = heartbeat.state is HeartbeatState.SERVING
+            return is_serving and heartbeat.sequence < latest.sequence
         return heartbeat.started_at_ms < latest.started_at_ms
 
     def _attach(self, heartbeat: Heartbeat) -> None:
@@ -203,25 +258,30 @@
 
     def _handle_leaving(self) -> None:
         """Takes the host out of routing because its upstream says that it leaves."""
-        self._set_desired_state(UpstreamState.DRAINING, self._desired_record.slots)
+        announcement = self._guard.announcement
+        if announcement is not None and announcement.instance is not None:
+            self._add_departure(announcement.instance, announcement.started_at_ms)
+        self._set_desired_state(UpstreamState.DRAINING, self._writer.record.slots)
 
     def stop(self) -> None:
         """Takes the host out of routing because its daemon is stopping."""
         self.stopping = True
-        self._set_desired_state(UpstreamState.DRAINING, self._desired_record.slots)
+        self._set_desired_state(UpstreamState.DRAINING, self._writer.record.slots)
 
     def is_leaving(self) -> bool:
         """Whether this host's record says, or is about to say, that it drains."""
-        return self._desired_record.state is UpstreamState.DRAINING
+        return self._writer.record.state is UpstreamState.DRAINING
 
     def _set_desired_state(self, state: UpstreamState, slots: int) -> None:
         if self.stopping:
             state = UpstreamState.DRAINING
-        if (state, slots) == (self._desired_record.state, self._desired_record.slots):
+        if (state, slots) == (self._writer.record.state, self._writer.record.slots):
             return
+        self._replace_desired_record(state, slots)
+
+    def _replace_desired_record(self, state: UpstreamState, slots: int) -> None:
         self._sequence += 1
-        self._desired_record = self._make_record(state, slots)
-        self._desired_changed.set()
+        self._writer.replace(self._make_record(state, slots))
 
     def _make_record(self, state: UpstreamState, slots: int) -> UpstreamAnnounced:
         service = self._service
@@ -240,30 +300,13 @@
             operations_address=self._settings.listen.operations,
             sequence=self._sequence,
             daemon_incarnation=self._incarnation,
+            departures=self._departures.records(),
         )
 
     async def run(self) -> None:
-        """Writes the host's record whenever it changes, until it is cancelled.
-
-        A write without an answer may have been done or not, or may be done later.
-        So the same record is written until a write succeeds, and only then the next.
-        """
-        while True:
-            record = self._desired_record
-            if record is self._written_record:
-                self._all_written.set()
-                self._desired_changed = trio.Event()
-                await self._desired_changed.wait()
-                continue
-            await trio.sleep(self._rewrite_delay_s)
-            self._rewrite_delay_s = 0.0
-            await self._write(record)
-            self._written_record = record
-            self._written_at = trio.current_time()
-            self._written_era = self._log.era.current
-            self._write_count += 1
-            for listener in self.written_listeners:
-                listener(record)
+        """Writes the host's record whenever it changes, until it is cancelled."""
+        await self._took_over.wait()
+        await self._writer.run()
 
     def check_written(
         self,
@@ -271,69 +314,21 @@
         sent_at: float = math.inf,
         era: int | None = None,
     ) -> None:
-        """Has the host's record written again if the log service has forgotten it.
-
-        Args:
-            newest: The newest record of each host in the log service.
-            sent_at: When they were asked for, in seconds on trio's clock. If that was
-                before the record was written, they needn't contain it.
-            era: The era of the log service that they are of.
-        """
-        written = self._written_record
-        if written is None:
-            return
-        if sent_at <= self._written_at and era == self._written_era:
-            return
-        stored = find_host(newest, written.host_id)
-        if stored is not None and announcement_order(stored) >= announcement_order(
-            written
-        ):
-            return
-        self.rewrite_count += 1
-        self._written_record = None
-        self._rewrite_delay_s = random.uniform(0, len(newest) / _MAX_REWRITES_PER_S)
-        logger.bind(
-            event="host_rewritten",
-            state=written.state.value,
-            sequence=written.sequence,
-            stored_state=None if stored is None else stored.state.value,
-            stored_sequence=None if stored is None else stored.sequence,
-        ).warning("the log service forgot this host's record; writing it again")
-        self._desired_changed.set()
-
-    async def _write(self, record: UpstreamAnnounced) -> None:
-        value = msgspec.json.encode(record)
-        while True:
-            write_id = WriteId(record.host_id, self._epoch, self._write_count)
-            try:
-                await self._log.put(self._topic, record.host_id, value, write_id)
-                return
-            except (WriterOutOfOrderError, WriterFencedError) as error:
-                self._start_sequence(error)
-            except (LogUnavailableError, LogRefusedError) as error:
-                logger.bind(event="host_unwritten", state=record.state.value).warning(
-                    "writing this host's record failed; retrying: {}", error
-                )
-            await trio.sleep(_WRITE_RETRY_DELAY_S)
-
-    def _start_sequence(self, error: LogRefusedError) -> None:
-        """Starts a new sequence of writes, which no earlier one has to precede.
-
-        The log service has forgotten writes, or the clock by which this process was
-        started was behind that of the one before. The step to the next epoch grows, so
-        that the latest known one is passed soon.
-        """
-        self._epoch += self._epoch_step
-        self._epoch_step *= 2
-        self._write_count = 0
-        logger.bind(event="write_sequence_restarted", epoch=self._epoch).warning(
-            "the log service refuses this host's sequence of writes; starting another: "
-            "{}",
-            error,
-        )
+        """See `HostRecordWriter.check_written`."""
+        self._writer.check_written(newest, sent_at, era)
 
     async def wait_written(self) -> None:
         """Waits until the host's latest record is written."""
-        while self._desired_record is not self._written_record:
-            self._all_written = trio.Event()
-            await self._all_written.wait()
+        await self._writer.wait_written()
+
+    async def wait_recorded(self) -> None:
+        """Waits until the host's latest record is written, or for the longest time.
+
+        Without the log service, only this process remembers a departure until then.
+        """
+        with trio.move_on_after(_MAX_ACKNOWLEDGMENT_DELAY_S) as waiting:
+            await self.wait_written()
+        if waiting.cancelled_caught:
+            logger.bind(event="departure_unrecorded").warning(
+                "acknowledging a departure that isn't recorded yet"
+            )
--- a/tests/platform/test_upstream_leaving.py
+++ b/tests/platform/test_upstream_leaving.py
@@ -1,11 +1,16 @@
 """A host that passed on that an upstream is leaving doesn't send it requests later."""
 
+import os
+import signal
+import time
 from contextlib import asynccontextmanager
 
+import msgspec
 import trio
 
 from mangospoke.bench.waiting import wait_until
 from tests.platform.fake_store import StoreFault
+from tests.platform.hosted_fleet import run_hosted_fleet, send
 from tests.platform.limited_fleet import (
     DRAIN_S,
     SLOTS,
@@ -110,5 +115,52 @@
             load.end()
 
 
+async def test_a_late_heartbeat_does_not_bring_back_one_that_left_unheard(tmp_path):
+    """The daemon was restarted, and hears of its upstream only that it is gone."""
+    async with run_hosted_fleet(tmp_path) as fleet:
+        back = fleet.back
+        born_ms = time.time_ns() // 1_000_000 - 60_000
+        for _ in range(2):
+            await kill_and_start(back)
+            target = f"/instances/{back.upstream.instance}"
+            assert (await send(back.control, "DELETE", target)).status == 200
+            await kill_and_start(back)
+            back.upstream.received.clear()
+            await back.send_heartbeat(900, born=born_ms)
+            await trio.sleep(1.0)
+            assert (await fleet.front.send_request("/open/1")).status == 503
+            assert not back.upstream.received
+        await back.send_heartbeat(1, born=time.time_ns() // 1_000_000)
+        await wait_until(lambda: is_served(fleet), "a response of the next start", 4.0)
+
+
+async def kill_and_start(daemon):
+    os.kill(daemon.process.pid, signal.SIGKILL)
+    await daemon.process.wait()
+    daemon.start()
+    await wait_until(daemon.is_ready, "a ready daemon")
+
+
+async def is_served(fleet):
+    return (await fleet.front.send_request("/open/1")).status == 200
+
+
+async def test_a_stray_heartbeat_does_not_take_a_sound_upstream_out_of_use(tmp_path):
+    async with run_hosted_fleet(tmp_path) as fleet:
+        stray = {
+            "address": fleet.back.upstream.address,
+            "born": 99_000,
+            "info": {"service": "unnamed", "slots": 10},
+            "status": {"state": "ready", "seq": 1, "coldLeft": "0ms"},
+        }
+        body = msgspec.json.encode(stray)
+        target = "/instances/i-stray"
+        assert (await send(fleet.back.control, "PUT", target, body)).status == 200
+        for sequence in range(2, 6):
+            await fleet.back.send_heartbeat(sequence)
+            await trio.sleep(0.3)
+            assert await is_served(fleet)
+
+
 async def answers(load, instance):
     return any(r.answered_by == instance for r in load.requests_by_id.values())
--- /dev/null
+++ b/tests/state/test_departures.py
@@ -0,0 +1,240 @@
+"""Tests of upstreams that have left: no late heartbeat brings one back.
+
+Each registrar is one daemon process; the next one starts with the host's record.
+"""
+
+import time
+
+import msgspec
+import pytest
+import trio
+from test_registrar import HEARTBEAT, SETTINGS, FakeLog, heartbeat
+
+from mangospoke.conf.settings import Limits
+from mangospoke.guard.guard import Guard
+from mangospoke.logservice.keyed import KeyedRecord
+from mangospoke.logservice.records import UpstreamAnnounced, UpstreamState
+from mangospoke.observability.decisions import DecisionLog
+from mangospoke.peers.messages import UpstreamNotice
+from mangospoke.state.departures import Departures
+from mangospoke.state.fleet import Fleet
+from mangospoke.state.heartbeats import HeartbeatState, make_heartbeat_check
+from mangospoke.state.registrar import HostRegistrar
+
+NOW_MS = time.time_ns() // 1_000_000
+
+
+class Host:
+    """A host whose daemon is started again and again beside the same log."""
+
+    def __init__(self, nursery):
+        self.log = FakeLog()
+        self.starts = 0
+        self._nursery = nursery
+        self.scope = None
+
+    def start(self, *, is_store_readable=True, find_mismatch=lambda heartbeat: None):
+        """Ends the daemon, if there is one, and starts another."""
+        if self.scope is not None:
+            self.scope.cancel()
+        self.starts += 1
+        self.guard = Guard(Fleet("s"), Limits(), DecisionLog(), drain_notice_s=0.7)
+        self.registrar = HostRegistrar(
+            SETTINGS,
+            self.starts,
+            "batches",
+            self.guard,
+            self.log,
+            "hosts",
+            find_mismatch,
+        )
+        self.scope = trio.CancelScope()
+        self._nursery.start_soon(self._run, self.registrar, self.scope)
+        if is_store_readable:
+            self.read_store()
+        return self.registrar
+
+    async def _run(self, registrar, scope):
+        with scope:
+            await registrar.run()
+
+    def read_store(self):
+        puts = self.log.puts[-1:]
+        self.registrar.take_over([KeyedRecord("h1", put[2], 0) for put in puts])
+
+    def uses(self):
+        """Returns the instance that gets requests, or None."""
+        announcement = self.guard.announcement
+        return (
+            None
+            if announcement is None or self.guard.draining
+            else (announcement.instance)
+        )
+
+    def record(self):
+        return msgspec.json.decode(self.log.puts[-1][2], type=UpstreamAnnounced)
+
+
+@pytest.fixture
+async def host(autojump_clock):
+    async with trio.open_nursery() as nursery:
+        yield Host(nursery)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_late_heartbeat_of_an_unheard_upstream_that_left_is_ignored(host):
+    registrar = host.start()
+    registrar.handle_deregistration("i-1")
+    assert not registrar.handle_heartbeat(heartbeat(started_at_ms=NOW_MS - 4_000))
+    assert host.uses() is None
+
+
+@pytest.mark.parametrize("state", [HeartbeatState.DRAINING, HeartbeatState.LEAVING])
+async def test_a_restarted_daemon_ignores_late_heartbeats_of_one_that_left(host, state):
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    registrar.handle_heartbeat(heartbeat(state=state, sequence=6))
+    await registrar.wait_recorded()
+    for sequence in (5, 7, 900):
+        registrar = host.start()
+        assert not registrar.handle_heartbeat(heartbeat(sequence=sequence))
+        assert host.uses() is None
+        await registrar.wait_written()
+        assert host.record().state is UpstreamState.ABSENT
+
+
+async def test_a_restart_after_an_unheard_departure_does_not_undo_it(host):
+    registrar = host.start()
+    registrar.handle_deregistration("i-1")
+    await registrar.wait_recorded()
+    registrar = host.start()
+    assert not registrar.handle_heartbeat(heartbeat(started_at_ms=NOW_MS - 4_000))
+
+
+async def test_a_daemon_that_was_told_in_a_response_remembers_over_a_restart(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    notice = UpstreamNotice("i-1/1000", None, 0, True)
+    host.guard.statements.process_notice(notice)
+    await registrar.wait_recorded()
+    registrar = host.start()
+    assert not registrar.handle_heartbeat(heartbeat(sequence=9))
+
+
+async def test_a_later_start_under_the_same_instance_is_used(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    registrar.handle_deregistration("i-1")
+    assert host.uses() is None
+    await registrar.wait_recorded()
+    for _ in range(2):
+        assert registrar.handle_heartbeat(heartbeat(started_at_ms=2_000, sequence=1))
+        assert host.uses() == "i-1"
+        registrar = host.start()
+
+
+async def test_a_heartbeat_before_the_earlier_record_is_read_waits_for_it(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    registrar.handle_deregistration("i-1")
+    await registrar.wait_recorded()
+    written = len(host.log.puts)
+    registrar = host.start(is_store_readable=False)
+    registrar.handle_heartbeat(heartbeat(sequence=7))
+    registrar.handle_heartbeat(heartbeat(instance="i-2", started_at_ms=2_000))
+    await trio.sleep(1)
+    assert host.uses() is None
+    assert len(host.log.puts) == written
+    host.read_store()
+    assert host.uses() == "i-2"
+
+
+async def test_a_departure_is_acknowledged_once_it_is_recorded(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    await registrar.wait_written()
+    host.log.failures = 1
+    registrar.handle_deregistration("i-1")
+    await registrar.wait_recorded()
+    assert host.record().departures[-1].instance == "i-1"
+    assert host.record().state is UpstreamState.DRAINING
+
+
+async def test_without_the_log_a_departure_is_acknowledged_within_a_second(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    await registrar.wait_written()
+    host.log.failures = 10
+    registrar.handle_deregistration("i-1")
+    with trio.fail_after(0.9):
+        await registrar.wait_recorded()
+    assert host.uses() is None
+    await registrar.wait_written()
+    assert host.record().departures[-1].instance == "i-1"
+
+
+async def test_a_departure_binds_though_a_later_heartbeat_overtook_it(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(heartbeat(sequence=9))
+    registrar.handle_heartbeat(heartbeat(state=HeartbeatState.DRAINING, sequence=8))
+    assert host.uses() is None
+
+
+async def test_the_departure_of_an_earlier_run_does_not_touch_the_present_one(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(heartbeat(instance="i-2", started_at_ms=2_000))
+    registrar.handle_deregistration("i-1")
+    assert host.uses() == "i-2"
+
+
+def test_departures_are_bounded_and_the_latest_are_kept():
+    departures = Departures()
+    for number in range(100):
+        departures.add(f"i-{number}", number)
+    assert len(departures.records()) == 8
+    assert departures.has_left("i-99", 99)
+    assert not departures.has_left("i-99", 100)
+
+
+def is_known(service):
+    return service == "batches"
+
+
+CHECK = make_heartbeat_check("127.0.0.1:2", "a", is_known)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": "unknown"},
+        {"address": "127.0.0.1:3"},
+        {"failure_domain": "b"},
+    ],
+    ids=["service", "address", "domain"],
+)
+@pytest.mark.parametrize("state", HeartbeatState, ids=lambda state: state.value)
+@pytest.mark.parametrize("instance", ["i-1", "i-stray"])
+async def test_a_stray_heartbeat_does_not_replace_the_sound_upstream(
+    host, changes, state, instance
+):
+    registrar = host.start(find_mismatch=CHECK)
+    registrar.handle_heartbeat(HEARTBEAT)
+    stray = heartbeat(instance=instance, started_at_ms=9_000, state=state, **changes)
+    assert not registrar.handle_heartbeat(stray)
+    assert host.uses() == "i-1"
+    assert registrar.handle_heartbeat(heartbeat(sequence=6))
+    await registrar.wait_written()
+    assert host.record().state is UpstreamState.SERVING
+    assert host.record().service == "batches"
+
+
+async def test_an_upstream_whose_service_was_removed_may_still_leave(host):
+    services = {"batches"}
+    check = make_heartbeat_check("127.0.0.1:2", "a", services.__contains__)
+    registrar = host.start(find_mismatch=check)
+    registrar.handle_heartbeat(HEARTBEAT)
+    services.clear()
+    registrar.handle_heartbeat(heartbeat(sequence=6))
+    assert host.uses() == "i-1"
+    registrar.handle_heartbeat(heartbeat(sequence=7, state=HeartbeatState.DRAINING))
+    assert host.uses() is None
--- a/tests/state/test_registrar.py
+++ b/tests/state/test_registrar.py
@@ -21,12 +21,9 @@
 from mangospoke.logservice.records import UpstreamAnnounced, UpstreamState
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.state.fleet import Fleet
+from mangospoke.state.heartbeats import Heartbeat, HeartbeatState
 from mangospoke.state.host_directory import HostDirectory
-from mangospoke.state.registrar import (
-    Heartbeat,
-    HeartbeatState,
-    HostRegistrar,
-)
+from mangospoke.state.registrar import HostRegistrar
 from mangospoke.verdicts import RefusalReason
 
 ADDRESS = "127.0.0.1:1"
@@ -78,6 +75,7 @@
 
 @pytest.fixture
 async def running(registrar, autojump_clock):
+    registrar.take_over([])
     async with trio.open_nursery() as nursery:
         nursery.start_soon(registrar.run)
         yield registrar
