Membership: a daemon that starts without the log service uses an upstream that goes on

Cause: since a daemon uses no upstream until it has read what the one before it recorded. One that starts while the log service is away, or turns it away, got requests of hosts that have it as serving and refused them all.

Change: it uses an upstream at once that started after it, and another one after a second heartbeat with a higher number, 1 s after the first at least: one that has left sends nothing more. It can't ask neighbours, as it learns of them from the same topic. What the topic says later counts: a run that has left is drained then.

--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -25,15 +25,12 @@
 from mangospoke.state.heartbeats import Heartbeat, HeartbeatCheck, HeartbeatState
 from mangospoke.state.host_directory import find_host
 from mangospoke.state.host_record_writer import HostRecordWriter
+from mangospoke.state.unconfirmed_heartbeats import UnconfirmedHeartbeats
 
 _MAX_ACKNOWLEDGMENT_DELAY_S = 0.7
 """Longest wait for a departure's record before it is acknowledged without one. An
 upstream takes a response that comes after a second for none."""
 
-_MAX_PENDING_HEARTBEATS = 16
-"""Heartbeats of different runs and states that are kept until the host's earlier record
-is known."""
-
 _DEFAULT_MAX_CONNECTIONS = 1_000_000
 """Connection limit of an upstream, as heartbeats don't report one."""
 
@@ -74,7 +71,7 @@
         self._find_mismatch = find_mismatch
         self._departures = Departures()
         self._took_over = trio.Event()
-        self._pending_heartbeats: list[Heartbeat] = []
+        self._unconfirmed = UnconfirmedHeartbeats(time.time_ns() // 1_000_000)
         self._logged_heartbeat: tuple[InstanceId, int, str] | None = None
         self._latest_heartbeat: Heartbeat | None = None
         self._sequence = 0
@@ -96,8 +93,8 @@
     def take_over(self, newest: Sequence[KeyedRecord]) -> None:
         """Takes over what earlier daemons on this host recorded; needed once.
 
-        Until then nothing is written, which would replace that record, and no upstream
-        is used: it may have left before this process started.
+        Until then nothing is written, which would replace that record, and an upstream
+        is used only if it certainly hasn't left before this process started.
 
         Args:
             newest: The newest record of each host in the log service.
@@ -111,8 +108,12 @@
         self._replace_desired_record(
             self._writer.record.state, self._writer.record.slots
         )
-        pending, self._pending_heartbeats = self._pending_heartbeats, []
-        for heartbeat in pending:
+        latest = self._latest_heartbeat
+        if latest is not None and self._departures.has_left(
+            latest.instance, latest.started_at_ms
+        ):
+            self._drain(latest)
+        for heartbeat in self._unconfirmed.take_all():
             self.handle_heartbeat(heartbeat)
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
@@ -122,10 +123,9 @@
         run has left, or if a later one of the same run or one of a later run was
         processed already.
         """
-        if not self._took_over.is_set():
-            self._keep_pending(heartbeat)
-            return True
         is_serving = heartbeat.state is HeartbeatState.SERVING
+        if is_serving and not self._is_confirmed(heartbeat):
+            return True
         mismatch = self._find_mismatch(heartbeat)
         if mismatch is not None and (is_serving or not self._is_latest_run(heartbeat)):
             self._log_ignored(heartbeat, mismatch)
@@ -150,14 +150,11 @@
             self._drain(heartbeat)
         return True
 
-    def _keep_pending(self, heartbeat: Heartbeat) -> None:
-        """Keeps a heartbeat, in place of an earlier one of its run in that state."""
-        self._pending_heartbeats = [
-            each
-            for each in self._pending_heartbeats
-            if not each.is_same_run(heartbeat) or each.state is not heartbeat.state
-        ][1 - _MAX_PENDING_HEARTBEATS :]
-        self._pending_heartbeats.append(heartbeat)
+    def _is_confirmed(self, heartbeat: Heartbeat) -> bool:
+        """Whether it is known that the run hasn't left before this process started."""
+        return self._took_over.is_set() or self._unconfirmed.add(
+            heartbeat, trio.current_time()
+        )
 
     def _is_latest_run(self, heartbeat: Heartbeat) -> bool:
         latest = self._latest_heartbeat
--- a/tests/platform/test_upstream_leaving.py
+++ b/tests/platform/test_upstream_leaving.py
@@ -1,5 +1,6 @@
 """A host that passed on that an upstream is leaving doesn't send it requests later."""
 
+import contextlib
 import os
 import signal
 import time
@@ -145,6 +146,23 @@
     return (await fleet.front.send_request("/open/1")).status == 200
 
 
+async def test_a_daemon_that_starts_without_the_store_serves_for_others(tmp_path):
+    async with run_hosted_fleet(tmp_path) as fleet:
+        back = fleet.back
+        fleet.store.fault = StoreFault.SILENT
+        os.kill(back.process.pid, signal.SIGKILL)
+        await back.process.wait()
+        back.start()
+
+        async def is_served_after_heartbeat():
+            with contextlib.suppress(OSError):
+                await back.send_heartbeat(int(trio.current_time() * 1000))
+            response = await fleet.front.send_request("/inner/1", key=None)
+            return response.status == 200
+
+        await wait_until(is_served_after_heartbeat, "a response of the back", 6.0)
+
+
 async def test_a_stray_heartbeat_does_not_take_a_sound_upstream_out_of_use(tmp_path):
     async with run_hosted_fleet(tmp_path) as fleet:
         stray = {
--- a/tests/state/test_departures.py
+++ b/tests/state/test_departures.py
@@ -149,6 +149,50 @@
     assert host.uses() == "i-2"
 
 
+async def test_an_upstream_that_goes_on_is_used_though_the_store_is_away(host):
+    registrar = host.start(is_store_readable=False)
+    registrar.handle_heartbeat(heartbeat(sequence=7))
+    await trio.sleep(0.1)
+    # Held up together, and a repeated one: they prove nothing.
+    registrar.handle_heartbeat(heartbeat(sequence=8))
+    await trio.sleep(1.4)
+    registrar.handle_heartbeat(heartbeat(sequence=7))
+    assert host.uses() is None
+    registrar.handle_heartbeat(heartbeat(sequence=9))
+    assert host.uses() == "i-1"
+    assert not host.log.puts
+    host.read_store()
+    await registrar.wait_written()
+    assert host.record().state is UpstreamState.SERVING
+
+
+async def test_an_upstream_that_starts_after_its_daemon_is_used_at_once(host):
+    registrar = host.start(is_store_readable=False)
+    born_ms = NOW_MS + 60_000
+    registrar.handle_heartbeat(heartbeat(started_at_ms=born_ms))
+    assert host.uses() == "i-1"
+    registrar.handle_heartbeat(
+        heartbeat(started_at_ms=born_ms, sequence=6, state=HeartbeatState.DRAINING)
+    )
+    assert host.uses() is None
+
+
+async def test_a_departure_found_later_ends_the_use_of_its_upstream(host):
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    registrar.handle_deregistration("i-1")
+    await registrar.wait_recorded()
+    registrar = host.start(is_store_readable=False)
+    for sequence in (6, 7):
+        registrar.handle_heartbeat(heartbeat(sequence=sequence))
+        await trio.sleep(1.5)
+    assert host.uses() == "i-1"
+    host.read_store()
+    assert host.uses() is None
+    await registrar.wait_written()
+    assert host.record().state is UpstreamState.DRAINING
+
+
 async def test_a_departure_is_acknowledged_once_it_is_recorded(host):
     registrar = host.start()
     registrar.handle_heartbeat(HEARTBEAT)
