Bound what a cold upstream gets in a second, by the rate limit beside it

Cause: `coldPerS` of a service wasn't read, `coldLeft` only from the first heartbeat and `Cold-Ms` never; a cold start ramped a concurrency limit, which bounds what runs and not what arrives.

Change: the limit of an upstream grows a second part, for as long as it is cold, enforced by the same token bucket as the one that it names; the lower of both holds. What it got in the last second is taken off when it turns cold, and queued calls whose turn wouldn't come in time are handed on at once. Heartbeats, health responses and connections that can't be established show whether it is cold (guard/warmth.py); where that is open, it is asked at its health path (guard/cold_starts.py). `coldOverage` and `coldSlack` bound the burst. A service without `coldPerS` is served as before.

--- a/mangospoke/conf/effective.py
+++ b/mangospoke/conf/effective.py
@@ -67,7 +67,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EffectiveService:
-    """A service with the site's overlay applied."""
+    """A service with the site's overlay applied.
+
+    Attributes:
+        cold_per_s: Requests a second that a cold upstream takes; 0 for no bound.
+        health_path: Path at which an upstream tells its health; empty if none.
+    """
 
     name: ServiceName
     calls: tuple[ServiceName, ...]
@@ -75,6 +80,8 @@
     connections: int
     cold_start_s: float
     echoes_request_id: bool
+    cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -96,6 +96,7 @@
             guarantees.drain_s * _DRAIN_NOTICE_RATIO,
             adapts_limit=False,
         )
+        self._apply_cold_limits()
         self.registrar = HostRegistrar(
             settings,
             incarnation,
@@ -208,6 +209,7 @@
         self.freshness.max_age_s = (
             hosted_settings.guarantees.withdrawal_s * _FRESHNESS_RATIO
         )
+        self._apply_cold_limits()
         needs_restart = (
             replace(previous, guarantees=hosted_settings.guarantees) != hosted_settings
         )
@@ -216,6 +218,11 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
+    def _apply_cold_limits(self) -> None:
+        limits = self.hosted_settings.guarantees.cold
+        self.guard.cold_starts.max_excess_ratio = limits.max_excess_ratio
+        self.guard.cold_starts.max_excess_requests = limits.max_excess_requests
+
     def _count_hosts(self) -> int:
         return len(self.directory)
 
@@ -260,6 +267,7 @@
             "rates": self.rates.run,
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
+            "cold starts": self.guard.cold_starts.run,
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
             "peer connections": self.peers.run,
--- a/mangospoke/daemon/hosting.py
+++ b/mangospoke/daemon/hosting.py
@@ -39,6 +39,19 @@
     max_excess_requests: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdExcessLimits:
+    """By how much a cold upstream's requests of a second may exceed its service's rate.
+
+    Attributes:
+        max_excess_ratio: Allowed excess as a ratio of that rate.
+        max_excess_requests: Additional requests that it may get in the second.
+    """
+
+    max_excess_ratio: float = 0.0
+    max_excess_requests: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Guarantees:
     """Guaranteed bounds that operators rely on.
@@ -51,6 +64,7 @@
         stop_s: Seconds from the stop signal to the exit of the process.
         retries: Limits retries at other upstreams.
         rates: Limits the excess over the rates of client accounts.
+        cold: Limits the excess over the rates of cold upstreams.
     """
 
     withdrawal_s: float
@@ -58,6 +72,7 @@
     stop_s: float
     retries: FleetRetryLimit
     rates: RateExcessLimits
+    cold: ColdExcessLimits = ColdExcessLimits()
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -1,8 +1,10 @@
 """Builds the status that daemons report at their operations address."""
 
+import math
 from typing import Protocol
 
 import msgspec
+import trio
 
 from mangospoke.conf.settings import Settings
 from mangospoke.guard.guard import Guard
@@ -142,12 +144,22 @@
         in_flight=load.in_flight,
         queued=load.queued,
         queue_delay_ms=load.queue_delay_ms,
-        rate_limit=rate_limit.rate_per_s,
+        rate_limit=rate_limit.stated_per_s,
         limit_admitted=rate_limit.admitted_count,
         limit_refused=rate_limit.refused_count,
+        cold_left_s=_read_cold_left_s(guard),
+        cold_turns=guard.cold_starts.turn_count,
     )
 
 
+def _read_cold_left_s(guard: Guard) -> float | None:
+    """Returns the seconds of a bounded cold time; None if its end isn't known."""
+    if not guard.cold_starts.is_bounded:
+        return 0.0
+    left_s = guard.cold_starts.warmth.left_s(trio.current_time())
+    return round(left_s, 3) if math.isfinite(left_s) else None
+
+
 def _read_offsets(fleet: Fleet) -> dict[str, int]:
     return {
         stream.value: offset for stream, offset in fleet.next_offset_by_stream.items()
--- a/mangospoke/guard/admission.py
+++ b/mangospoke/guard/admission.py
@@ -275,6 +275,31 @@
         """Admits queued calls after the limit was raised."""
         self._admit_waiting(trio.current_time())
 
+    def apply_rate_limit(self) -> None:
+        """Applies a changed rate limit to the calls in the queue.
+
+        Those whose turn wouldn't come in time are refused at once, so that they can be
+        sent elsewhere.
+        """
+        now = trio.current_time()
+        ahead_count = 0
+
+        def is_too_late(call: Call) -> bool:
+            nonlocal ahead_count
+            wait_s = self.rate_limit.wait_s(ahead_count, now)
+            if wait_s <= self._wait_until(call, now) - now:
+                ahead_count += 1
+                return False
+            return True
+
+        if self._queue.waiting_count and self.rate_limit.rate_per_s is not None:
+            detail = (
+                f"the upstream takes {self.rate_limit.rate_per_s} requests a second"
+            )
+            refused = Refused(RefusalReason.QUEUE_FULL, detail)
+            self.rate_limit.refused_count += self.refuse_queued(is_too_late, refused)
+        self.admit_waiting()
+
     async def run(self) -> None:
         """Admits queued calls whenever the rate limit lets one through."""
         while True:
--- a/mangospoke/guard/dialect.py
+++ b/mangospoke/guard/dialect.py
@@ -58,6 +58,9 @@
         rate_limit: Requests a second that the upstream takes from the whole fleet, or
             None if it names no limit.
         is_leaving: Whether the upstream says that it is leaving.
+        cold_left_s: Seconds for which the upstream says that it stays cold, 0 if it is
+            warm; None if it says nothing of it.
+        instance: The process run that responded, or None if not given.
     """
 
     request_id: bytes | None = None
@@ -68,6 +71,8 @@
     idle_timeout_s: float | None = None
     rate_limit: float | UnreadableLimit | None = None
     is_leaving: bool = False
+    cold_left_s: float | None = None
+    instance: InstanceId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +142,16 @@
     return UnreadableLimit(values[0][:_MAX_LOGGED_CHARACTERS].decode("latin-1"))
 
 
+def read_cold_left_s(value: bytes | None) -> float | None:
+    """Returns the seconds that a header field tells in milliseconds, or None.
+
+    Whatever can't be read says nothing.
+    """
+    if value is None or not _DECIMAL_NUMBER.fullmatch(value.strip()):
+        return None
+    return float(value) / 1000
+
+
 def find_field(headers: Headers, name: bytes) -> bytes | None:
     """Returns the last value of a header field, or None."""
     last_value = None
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -10,6 +10,7 @@
 from mangospoke.calls import Call, SendStatus
 from mangospoke.conf.settings import Limits
 from mangospoke.guard.admission import AdmissionController, Completion
+from mangospoke.guard.cold_starts import ColdStartController
 from mangospoke.guard.dialect import (
     NATIVE_DIALECT,
     ResponseMetadata,
@@ -25,6 +26,7 @@
 from mangospoke.http.client import ConnectError, open_connection
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.response_streams import bounded_response_body
+from mangospoke.ids import InstanceId
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
 from mangospoke.state.fleet import Fleet
@@ -50,6 +52,7 @@
     Attributes:
         announcement: What the upstream last announced, or None.
         statements: What the upstream says about itself.
+        cold_starts: Bounds what the upstream gets while it is cold.
         draining: Whether the upstream is leaving; calls from peers are still accepted
             for a short notice period, then refused.
         leaving_listeners: Called when the upstream says in a response that it leaves.
@@ -74,6 +77,9 @@
             self.admission.rate_limit, self.admission.admit_waiting
         )
         self.statements.on_leaving = self._handle_leaving
+        self.cold_starts = ColdStartController(
+            fleet, self.admission.rate_limit, dialect, self.admission.apply_rate_limit
+        )
         self.quarantine: QuarantineController | None = None
         self.read_downstream_delay_s: Callable[[], float] = _zero_delay
         self._refuse_from = math.inf
@@ -101,6 +107,7 @@
         if is_new_upstream:
             self._connections = self._open_connections(announcement)
             self.statements.attach(announcement)
+            self.cold_starts.start_run(announcement)
         self.announcement = announcement
         if not self.statements.is_leaving:
             self.draining = False
@@ -121,10 +128,19 @@
             # A late response of a previous run says nothing about the present one.
             if connections is self._connections and not metadata.is_other_instance:
                 self.statements.process_response(response.status, metadata, sent_at)
+                self.cold_starts.process_response(metadata, sent_at)
 
         connections.observe_response = observe
         return connections
 
+    def process_heartbeat(
+        self, instance: InstanceId | None, cold_left_ms: int | None
+    ) -> None:
+        """Processes how long the upstream stays cold, by a heartbeat of this run."""
+        announcement = self.announcement
+        if announcement is not None and announcement.instance == instance:
+            self.cold_starts.process_heartbeat(cold_left_ms)
+
     def _apply_ceiling(self) -> None:
         ceiling = self._ceiling()
         self.admission.concurrency.set_ceiling(ceiling)
@@ -161,6 +177,7 @@
     def _apply_configuration(self) -> None:
         """Applies a new configuration version, also to queued calls."""
         self._apply_ceiling()
+        self.cold_starts.apply_configuration()
         refused = Refused(RefusalReason.KEY_WITHDRAWN, "the key was withdrawn")
         self.admission.refuse_queued(self._is_key_withdrawn, refused)
         self.admission.admit_waiting()
@@ -184,6 +201,7 @@
                 _CONNECT_CHECK_TIMEOUT_S,
             )
         except ConnectError:
+            self.cold_starts.handle_unreachable()
             return False
         await connection.aclose()
         return True
@@ -340,6 +358,7 @@
         if isinstance(outcome, Refused):
             if outcome.reason is RefusalReason.UPSTREAM_UNREACHABLE:
                 self._was_unreachable = True
+                self.cold_starts.handle_unreachable()
         elif isinstance(outcome, Answered) and self._was_unreachable:
             self._was_unreachable = False
             self._start_cold()
--- a/mangospoke/guard/hints.py
+++ b/mangospoke/guard/hints.py
@@ -50,17 +50,22 @@
         At least half of the ceiling; infinity if the hints suggest no bound.
     """
     floor = max(1.0, ceiling * _MIN_HINT_RATIO)
-    health_response = await _get(announcement.address, announcement.health_path)
+    health_response = await request_once(announcement.address, announcement.health_path)
     if health_response is not None and health_response.status != _HTTP_OK:
         return floor
-    load_response = await _get(announcement.address, announcement.load_path)
+    load_response = await request_once(announcement.address, announcement.load_path)
     report = _read_report(load_response)
     if report is not None and report.slots < ceiling:
         return max(floor, float(report.slots))
     return math.inf
 
 
-async def _get(address: str, path: str) -> HttpResponse | None:
+async def request_once(address: str, path: str) -> HttpResponse | None:
+    """Sends a `GET` on a connection of its own.
+
+    Returns:
+        The response; None if none arrives in time or it can't be read.
+    """
     try:
         with trio.fail_after(_POLL_TIMEOUT_S):
             connection = await open_connection(
--- a/mangospoke/guard/statements.py
+++ b/mangospoke/guard/statements.py
@@ -114,7 +114,7 @@
         """Returns what peers are to know; None if they know it without being told."""
         notice = UpstreamNotice(
             self._run,
-            self._rate_limit.rate_per_s,
+            self._rate_limit.stated_per_s,
             self._stated_at_ms,
             self.is_leaving,
         )
@@ -147,7 +147,7 @@
         self._bind("upstream_limit_unreadable").warning(
             "cannot read the upstream's rate limit {!r}; keeping {}",
             limit.text,
-            self._rate_limit.rate_per_s,
+            self._rate_limit.stated_per_s,
         )
 
     def _log_limit_change(self, change: LimitChange) -> None:
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -84,6 +84,7 @@
     if status.upstream is None:
         return
     _add_rate_limit(registry, status.upstream)
+    _add_cold_start(registry, status.upstream)
     values_by_name = {
         "limit": status.upstream.limit,
         "in_flight": status.upstream.in_flight,
@@ -118,6 +119,22 @@
     )
 
 
+def _add_cold_start(registry: Registry, upstream: UpstreamStatus) -> None:
+    service = upstream.service
+    _add_gauge(
+        registry,
+        "mangospoke_upstream_cold",
+        "Whether the upstream on this host is cold and gets a bounded rate (1) or not.",
+        [({"service": service}, 0 if upstream.cold_left_s == 0 else 1)],
+    )
+    _add_counter(
+        registry,
+        "mangospoke_upstream_cold_turns_total",
+        "Times that the upstream on this host turned cold.",
+        [({"service": service}, upstream.cold_turns)],
+    )
+
+
 def _add_state(registry: Registry, state: StateStatus | None) -> None:
     if state is None:
         return
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -28,8 +28,11 @@
 
     Attributes:
         rate_limit: Requests a second that it says it takes; None if it names no limit.
-        limit_admitted: Requests admitted under such a limit since the daemon's start.
+        limit_admitted: Requests admitted under such a limit, or that of a cold
+            upstream, since the daemon's start.
         limit_refused: Requests refused because of it.
+        cold_left_s: Seconds for which it counts as cold; None while that is open.
+        cold_turns: Times that it turned cold since the daemon's start.
     """
 
     service: ServiceName
@@ -42,6 +45,8 @@
     rate_limit: float | None = None
     limit_admitted: int = 0
     limit_refused: int = 0
+    cold_left_s: float | None = 0.0
+    cold_turns: int = 0
 
 
 class LogHealth(Struct, frozen=True):
--- a/mangospoke/platform/configuration.py
+++ b/mangospoke/platform/configuration.py
@@ -82,10 +82,16 @@
 
     Attributes:
         max_conns: Maximum number of connections; 0 if unlimited.
+        health_path: Path at which an upstream tells its health.
+        cold_start: Time for which an upstream is cold after its start, as a duration.
+        cold_per_s: Requests a second that a cold upstream takes; 0 if unlimited.
     """
 
     name: str
     max_conns: int = 0
+    health_path: str = ""
+    cold_start: str = "0s"
+    cold_per_s: float = 0.0
 
 
 class _Tenant(Struct, frozen=True, rename="camel"):
@@ -155,8 +161,11 @@
         calls=(),
         slots=_UNLIMITED_CAPACITY,
         connections=cluster.max_conns or _UNLIMITED_CAPACITY,
-        cold_start_s=0.0,
+        # The ramp of a fresh upstream follows what its heartbeats say.
+        cold_start_s=parse_duration_ms(cluster.cold_start) / 1000,
         echoes_request_id=True,
+        cold_per_s=cluster.cold_per_s,
+        health_path=cluster.health_path,
     )
 
 
--- a/mangospoke/platform/headers.py
+++ b/mangospoke/platform/headers.py
@@ -5,6 +5,7 @@
     ResponseMetadata,
     UpstreamDialect,
     UpstreamReport,
+    read_cold_left_s,
     read_rate_limit,
     remaining_ms,
 )
@@ -38,6 +39,8 @@
 _SERVER_LOAD = b"server-load"
 _SERVER_LIMIT = b"server-limit"
 _SERVER_LEAVING = b"server-leaving"
+_COLD_MS = b"cold-ms"
+_INSTANCE = b"instance-id"
 _KEEP_ALIVE = b"keep-alive"
 
 _RESERVED = frozenset(
@@ -134,6 +137,7 @@
 def _read_metadata(response: HttpResponse) -> ResponseMetadata:
     by_name = dict(response.headers)
     is_success = 200 <= response.status < 300
+    instance = by_name.get(_INSTANCE)
     return ResponseMetadata(
         request_id=by_name.get(_REQUEST_ID),
         not_run=_NOT_EXECUTED in by_name,
@@ -143,6 +147,8 @@
         idle_timeout_s=_parse_idle_timeout_s(by_name.get(_KEEP_ALIVE)),
         rate_limit=read_rate_limit(response.headers, _SERVER_LIMIT),
         is_leaving=by_name.get(_SERVER_LEAVING) == b"1",
+        cold_left_s=read_cold_left_s(by_name.get(_COLD_MS)),
+        instance=None if instance is None else InstanceId(instance.decode("latin-1")),
     )
 
 
--- a/mangospoke/platform/heartbeats.py
+++ b/mangospoke/platform/heartbeats.py
@@ -17,6 +17,9 @@
     "ready": HeartbeatState.SERVING,
     "draining": HeartbeatState.DRAINING,
 }
+_MAX_COLD_LEFT_MS = 3_600_000
+"""Longer times are taken for this one."""
+
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -33,12 +36,12 @@
     Attributes:
         state: `ready` or `draining`.
         seq: Number of the heartbeat within the process run.
-        cold_left: Remaining warm-up time, as a duration.
+        cold_left: Remaining warm-up time, as a duration; None if not reported.
     """
 
     state: str
     seq: int
-    cold_left: str = "0ms"
+    cold_left: str | None = None
 
 
 class _HeartbeatBody(Struct, frozen=True):
@@ -115,7 +118,7 @@
             state=_STATES_BY_NAME[body.status.state],
             started_at_ms=body.born,
             sequence=body.status.seq,
-            cold_left_ms=int(parse_duration_ms(body.status.cold_left)),
+            cold_left_ms=_parse_cold_left_ms(body.status.cold_left),
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         logger.bind(event="heartbeat_unreadable", instance=instance).warning(
@@ -124,5 +127,11 @@
         return None
 
 
+def _parse_cold_left_ms(text: str | None) -> int | None:
+    if text is None:
+        return None
+    return int(min(parse_duration_ms(text), _MAX_COLD_LEFT_MS))
+
+
 def _build_response(status: int) -> HttpResponse:
     return HttpResponse(status, _JSON_HEADERS, buffered_body(b"{}"))
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -16,6 +16,7 @@
     Settings,
 )
 from mangospoke.daemon.hosting import (
+    ColdExcessLimits,
     FleetRetryLimit,
     Guarantees,
     HostedSettings,
@@ -150,4 +151,8 @@
             max_excess_ratio=bounds.number("quotaOverage", 0.0),
             max_excess_requests=bounds.number("quotaSlack", 0.0),
         ),
+        cold=ColdExcessLimits(
+            max_excess_ratio=max(0.0, bounds.number("coldOverage", 1.0) - 1),
+            max_excess_requests=bounds.number("coldSlack", 0.0),
+        ),
     )
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -59,7 +59,7 @@
         state: Its state.
         started_at_ms: Wall-clock milliseconds at its start; 0 if not reported.
         sequence: Number of the heartbeat within the process run.
-        cold_left_ms: Remaining warm-up time in milliseconds.
+        cold_left_ms: Remaining warm-up time in milliseconds; None if not reported.
     """
 
     instance: InstanceId
@@ -69,7 +69,7 @@
     state: HeartbeatState
     started_at_ms: int
     sequence: int
-    cold_left_ms: int
+    cold_left_ms: int | None
 
 
 class HostRegistrar:
@@ -142,6 +142,7 @@
             self._drain(heartbeat)
         else:
             self._drain(heartbeat)
+        self._guard.process_heartbeat(heartbeat.instance, heartbeat.cold_left_ms)
         return True
 
     def _is_outdated(self, heartbeat: Heartbeat) -> bool:
--- a/tests/guard/test_rate_limit.py
+++ b/tests/guard/test_rate_limit.py
@@ -3,6 +3,7 @@
 from mangospoke.guard.rate_limit import (
     BURST_S,
     MIN_RATE_PER_S,
+    ColdRate,
     LimitEvent,
     StatementSource,
     UpstreamRateLimit,
@@ -118,3 +119,44 @@
     for step in range(1_000):
         offered_s = limit.offer_turn_s(0, step * 0.01)
         assert offered_s <= 1.0
+
+
+COLD = ColdRate(per_s=8.0, burst=4.0)
+
+
+def test_a_cold_upstream_gets_its_rate_and_no_more_in_any_second():
+    limit = UpstreamRateLimit()
+    limit.bound_cold(COLD, 0.0)
+    times = take_all(limit, 20.0)
+    assert most_in_window(times, 1.0) <= 8 + 4
+    assert len(times) >= 8 * 20 - 2
+
+
+def test_what_was_sent_just_before_the_turn_to_cold_is_known_counts():
+    limit = UpstreamRateLimit()
+    for step in range(100):
+        assert limit.take(step * 0.002)
+    limit.bound_cold(COLD, 0.2)
+    assert limit.wait_s(0, 0.2) >= 1.0
+    assert not limit.may_take(1.2)
+    assert limit.may_take(1.4)
+
+
+def test_the_lower_of_the_stated_limit_and_that_of_a_cold_upstream_holds():
+    limit = limited(20.0)
+    limit.bound_cold(COLD, 1.0)
+    assert limit.rate_per_s == 8.0
+    limit.state(5.0, 1.0, 1.1)
+    assert limit.rate_per_s == 5.0
+    limit.state(None, 1.2, 1.3)
+    assert limit.rate_per_s == 8.0
+    limit.bound_cold(None, 2.0)
+    assert limit.rate_per_s is None
+
+
+def test_a_new_run_that_is_cold_is_bounded_from_its_first_request():
+    limit = UpstreamRateLimit()
+    limit.bound_cold(COLD, 0.0)
+    limit.reset()
+    assert limit.rate_per_s == 8.0
+    assert most_in_window(take_all(limit, 5.0), 1.0) <= 12
--- a/tests/platform/hosted_fleet.py
+++ b/tests/platform/hosted_fleet.py
@@ -26,10 +26,13 @@
 PORT_RANGE = [7000, 7015]
 
 
-def build_configuration(version, *, keys=(KEY,), rate=0, timeout="2s", service="back"):
+def build_configuration(
+    version, *, keys=(KEY,), rate=0, timeout="2s", service="back", cluster=None
+):
     """Builds a configuration with two routes that need a key and two without.
 
     All of them lead to `service` but `/leaf/`, which leads to the front's upstream.
+    Each service also has the fields of `cluster`.
     """
     tenant = {"name": "acme", "apiKeys": list(keys), "ratePerS": rate, "burst": rate}
     rules = [
@@ -42,7 +45,9 @@
         "version": f"r{version}",
         "tenants": [tenant],
         "listeners": [{"hostname": HOST, "rules": rules}],
-        "clusters": [{"name": name, "maxConns": 100} for name in SERVICES],
+        "clusters": [
+            {"name": name, "maxConns": 100, **(cluster or {})} for name in SERVICES
+        ],
     }
     return msgspec.json.encode(state)
 
--- a/tests/platform/limited_fleet.py
+++ b/tests/platform/limited_fleet.py
@@ -211,14 +211,16 @@
 
 
 @asynccontextmanager
-async def run_limited_fleet(directory, labels, **options):
+async def run_limited_fleet(
+    directory, labels, make_upstream=LimitedUpstream, bounds=(), **options
+):
     """Runs a host for each label; the text before a dash is its service."""
     async with run_hosted_fleet(
         directory,
         services=labels,
-        make_upstream=LimitedUpstream,
+        make_upstream=make_upstream,
         slots=SLOTS,
-        bounds=(f"drain={DRAIN_S * 1000:.0f}ms",),
+        bounds=(f"drain={DRAIN_S * 1000:.0f}ms", *bounds),
         **options,
     ) as fleet:
         for daemon in fleet.daemons_by_service.values():
