--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -10,6 +10,7 @@
 from mangospoke.calls import Call, SendStatus
 from mangospoke.conf.settings import Limits
 from mangospoke.guard.admission import AdmissionController, Completion
+from mangospoke.guard.cold_starts import ColdStartController
 from mangospoke.guard.dialect import (
     NATIVE_DIALECT,
     ResponseMetadata,
@@ -28,7 +29,7 @@
 from mangospoke.http.client import ConnectError, open_connection
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.response_streams import bounded_response_body
-from mangospoke.ids import NO_ROUTE, RouteName
+from mangospoke.ids import NO_ROUTE, InstanceId, RouteName
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
 from mangospoke.state.fleet import Fleet
@@ -55,6 +56,7 @@
         announcement: What the upstream last announced, or None.
         statements: What the upstream says about itself.
         performance: How well the upstream works, as learned from its calls.
+        cold_starts: Bounds what the upstream gets while it is cold.
         draining: Whether the upstream is leaving; calls from peers are still accepted
             for a short notice period, then refused.
         leaving_listeners: Called when the upstream says in a response that it leaves.
@@ -82,6 +84,9 @@
             self.admission.rate_limit, self.admission.admit_waiting
         )
         self.statements.on_leaving = self._handle_leaving
+        self.cold_starts = ColdStartController(
+            fleet, self.admission.rate_limit, dialect, self.admission.apply_rate_limit
+        )
         self.quarantine: QuarantineController | None = None
         self.read_downstream_delay_s: Callable[[], float] = _zero_delay
         self.retry_gate: RetryGate | None = None
@@ -111,6 +116,7 @@
             self._connections = self._open_connections(announcement)
             self.statements.attach(announcement)
             self.performance.reset()
+            self.cold_starts.start_run(announcement)
         self.announcement = announcement
         if not self.statements.is_leaving:
             self.draining = False
@@ -132,6 +138,7 @@
             if connections is self._connections and not metadata.is_other_instance:
                 self.statements.process_response(response.status, metadata, sent_at)
                 self._record_slowness(metadata)
+                self.cold_starts.process_response(metadata, sent_at)
 
         connections.observe_response = observe
         return connections
@@ -141,6 +148,14 @@
             now = trio.current_time()
             self.performance.record_slowness(metadata.report.slowness_ratio, now)
 
+    def process_heartbeat(
+        self, instance: InstanceId | None, cold_left_ms: int | None
+    ) -> None:
+        """Processes how long the upstream stays cold, by a heartbeat of this run."""
+        announcement = self.announcement
+        if announcement is not None and announcement.instance == instance:
+            self.cold_starts.process_heartbeat(cold_left_ms)
+
     def _apply_ceiling(self) -> None:
         ceiling = self._ceiling()
         self.admission.concurrency.set_ceiling(ceiling)
@@ -177,6 +192,7 @@
     def _apply_configuration(self) -> None:
         """Applies a new configuration version, also to queued calls."""
         self._apply_ceiling()
+        self.cold_starts.apply_configuration()
         refused = Refused(RefusalReason.KEY_WITHDRAWN, "the key was withdrawn")
         self.admission.refuse_queued(self._is_key_withdrawn, refused)
         self.admission.admit_waiting()
@@ -200,6 +216,7 @@
                 _CONNECT_CHECK_TIMEOUT_S,
             )
         except ConnectError:
+            self.cold_starts.handle_unreachable()
             return False
         await connection.aclose()
         return True
@@ -391,6 +408,7 @@
         if isinstance(outcome, Refused):
             if outcome.reason is RefusalReason.UPSTREAM_UNREACHABLE:
                 self._was_unreachable = True
+                self.cold_starts.handle_unreachable()
         elif isinstance(outcome, Answered) and self._was_unreachable:
             self._was_unreachable = False
             self._start_cold()
--- a/mangospoke/state/heartbeats.py
+++ b/mangospoke/state/heartbeats.py
@@ -32,7 +32,7 @@
         state: Its state.
         started_at_ms: Wall-clock milliseconds at its start; 0 if not reported.
         sequence: Number of the heartbeat within the process run.
-        cold_left_ms: Remaining warm-up time in milliseconds.
+        cold_left_ms: Remaining warm-up time in milliseconds; None if not reported.
         failure_domain: Failure domain that it names; empty if not reported.
     """
 
@@ -43,7 +43,7 @@
     state: HeartbeatState
     started_at_ms: int
     sequence: int
-    cold_left_ms: int
+    cold_left_ms: int | None
     failure_domain: FailureDomainId = FailureDomainId("")
 
     def is_same_run(self, other: "Heartbeat") -> bool:
