A quarantine is known to the daemons of a service, not to processes

A daemon that started knew none, and admitted at once while its registry was empty, so that a rolling restart let a request that crashes upstreams through once per daemon. A host that was cut off during a report never heard of it either.

Change: a daemon that starts asks a few daemons of its service, in its own and in other failure domains, before its calls run; a report that isn't acknowledged is repeated; each daemon asks two others every 15 s with a digest. Crashes are sets of ids that only grow, with those that were cleared, so that messages may come in any order and a lift isn't undone by a host that missed it. The time left travels, no clock reading.

Two crashes without a trial no longer quarantine: a popular request runs in all upstreams, and two that failed at the same moment refused it for 10 minutes. Now one of the crashes has to be in a trial, so that a poison request that two upstreams ran at once costs one more crash, and an innocent one is cleared by its trial.

tests/guard/test_suspects.py: SuspectRegistry.clear has a new argument, the time; the assertions are the same.

--- a/mangospoke/control/messages.py
+++ b/mangospoke/control/messages.py
@@ -285,11 +285,13 @@
     Attributes:
         fingerprints: Fingerprints of the requests.
         death_id: Id of the crash, so that it is counted once.
+        is_trial: Whether the requests were on trial.
     """
 
     service: ServiceName
     fingerprints: tuple[str, ...]
     death_id: str
+    is_trial: bool = False
 
 
 class StartTrial(Message, frozen=True, tag="start-trial"):
@@ -305,10 +307,15 @@
 
 
 class StartTrialResponse(Message, frozen=True, tag="trial-answer"):
-    """Whether a suspect request may run, and the crashes that it is suspected of."""
+    """Whether a suspect request may run, and the crashes that it is suspected of.
+
+    Attributes:
+        trial_death_ids: Those crashes that happened while it was on trial.
+    """
 
     granted: bool
     death_ids: tuple[str, ...]
+    trial_death_ids: tuple[str, ...] = ()
 
 
 class EndTrial(Message, frozen=True, tag="end-trial"):
@@ -319,6 +326,62 @@
 
 
 class ClearSuspect(Message, frozen=True, tag="clear-suspect"):
-    """Clears a suspect or quarantined request."""
+    """Clears a suspect or quarantined request.
+
+    Attributes:
+        death_ids: The crashes that the sender knew of.
+    """
 
     fingerprint: str
+    death_ids: tuple[str, ...] = ()
+
+
+class SuspectRecord(Struct, frozen=True, array_like=True):
+    """What a daemon knows of a suspect, quarantined or cleared request.
+
+    Attributes:
+        death_ids: Ids of the crashes of upstreams that were running it.
+        trial_death_ids: Those of them that happened while it was on trial.
+        cleared_death_ids: Those of which it has been cleared.
+        remaining_ms: Milliseconds after which it is forgotten.
+    """
+
+    fingerprint: str
+    death_ids: tuple[str, ...]
+    trial_death_ids: tuple[str, ...]
+    cleared_death_ids: tuple[str, ...]
+    remaining_ms: float
+
+
+class ReadSuspects(Message, frozen=True, tag="read-suspects"):
+    """Reads what a daemon of a service knows of the service's suspects.
+
+    Attributes:
+        digest: Digest of what the sender knows; 0 to read all.
+        after: Fingerprint after which to begin.
+    """
+
+    service: ServiceName
+    digest: int = 0
+    after: str = ""
+
+
+class ReadSuspectsResponse(Message, frozen=True, tag="suspects-read"):
+    """A part of what a daemon knows of a service's suspects.
+
+    Attributes:
+        has_learned: Whether it knows what the service's daemons knew before it started.
+        records: In order of fingerprints; empty if the digests are equal.
+        is_last: Whether there are no more records.
+    """
+
+    has_learned: bool
+    records: tuple[SuspectRecord, ...] = ()
+    is_last: bool = True
+
+
+class ShareSuspects(Message, frozen=True, tag="share-suspects"):
+    """Tells a daemon of suspects, as an earlier report didn't reach it."""
+
+    service: ServiceName
+    records: tuple[SuspectRecord, ...]
--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -102,7 +102,12 @@
         balancer.notices.read,
     )
     quarantine = QuarantineController(
-        settings.host.id, fleet, control, guard.accepts_connections
+        settings.host.id,
+        domain,
+        fleet,
+        control,
+        guard.accepts_connections,
+        guard.upstream_service,
     )
     guard.quarantine = quarantine
     host_incarnation = (settings.host.id, incarnation)
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -127,7 +127,12 @@
         )
         self.control = PeerControlChannel(self.peers)
         self.quarantine = QuarantineController(
-            settings.host.id, self.fleet, self.control, self.guard.accepts_connections
+            settings.host.id,
+            domain,
+            self.fleet,
+            self.control,
+            self.guard.accepts_connections,
+            lambda: hosted_settings.upstream_service,
         )
         self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
@@ -260,6 +265,7 @@
             "rates": self.rates.run,
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
+            "suspects": self.quarantine.run,
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
             "peer connections": self.peers.run,
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -69,6 +69,7 @@
             nursery.start_soon(supervise, "guard", daemon.guard.run)
             nursery.start_soon(supervise, "admission", daemon.guard.admission.run)
             nursery.start_soon(supervise, "notes", daemon.at_most_once.run)
+            nursery.start_soon(supervise, "suspects", daemon.quarantine.run)
             for name, service in daemon.state.services_by_name.items():
                 nursery.start_soon(supervise, name, service)
             nursery.start_soon(supervise, "overload", daemon.overload.run)
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -25,6 +25,7 @@
 from mangospoke.http.client import ConnectError, open_connection
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.response_streams import bounded_response_body
+from mangospoke.ids import ServiceName
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
 from mangospoke.state.fleet import Fleet
@@ -221,6 +222,10 @@
         self.announcement = None
         self._connections = None
 
+    def upstream_service(self) -> ServiceName | None:
+        """Returns the upstream's service; None while there is no upstream."""
+        return None if self.announcement is None else self.announcement.service
+
     def load(self) -> Load:
         """Returns the load of the upstream and the delay of its downstream services."""
         return self._add_downstream_delay(self.admission.advertised_load())
--- a/mangospoke/guard/poison.py
+++ b/mangospoke/guard/poison.py
@@ -1,9 +1,9 @@
-"""Quarantines poison requests, which crash upstreams, after the second crash.
+"""Quarantines poison requests, which crash upstreams, after a trial.
 
 When an upstream crashes, all requests that it was running become suspects, and every
 daemon of the service is notified before any of these calls is answered. A suspect runs
 only as a trial: once at a time in the whole fleet, and without other suspects in the
-same upstream. A complete response clears it, a second crash quarantines it.
+same upstream. A complete response clears it, a crash during its trial quarantines it.
 """
 
 import secrets
@@ -22,14 +22,13 @@
     StartTrial,
     StartTrialResponse,
 )
+from mangospoke.guard.suspect_exchange import ServiceReader, SuspectExchange
 from mangospoke.guard.suspects import (
-    CRASHES_TO_QUARANTINE,
-    SUSPECT_LIFETIME_S,
     SuspectRegistry,
     TrialRegistry,
     poison_fingerprint,
 )
-from mangospoke.ids import HostId, ServiceName
+from mangospoke.ids import FailureDomainId, HostId, ServiceName
 from mangospoke.logservice.records import UpstreamAnnounced
 from mangospoke.observability.status import QuarantineStatus
 from mangospoke.rendezvous import rendezvous_rank
@@ -93,15 +92,20 @@
     def __init__(
         self,
         host_id: HostId,
+        failure_domain: FailureDomainId,
         fleet: Fleet,
         control: ControlChannel,
         is_reachable: ReachabilityCheck,
+        read_service: ServiceReader,
     ) -> None:
         self._host_id = host_id
         self._fleet = fleet
         self._control = control
         self._is_reachable = is_reachable
         self._suspects = SuspectRegistry()
+        self._exchange = SuspectExchange(
+            host_id, failure_domain, fleet, control, self._suspects, read_service
+        )
         self._trials = TrialRegistry()
         self._current_loss: _ConnectionLoss | None = None
         self._local_trial: Trial | None = None
@@ -111,21 +115,28 @@
         handlers[EndTrial] = self._handle_end_trial
         handlers[ClearSuspect] = self._handle_clear
 
+    async def run(self) -> None:
+        """Exchanges suspects with the service's other daemons until cancelled."""
+        await self._exchange.run()
+
     async def admit(self, call: Call) -> Trial | Refused | None:
-        """Decides whether a call may run; waits while another trial is running.
+        """Decides whether a call may run.
+
+        Waits after a start until the service's other daemons were asked for their
+        suspects, and while another trial is running.
 
         Returns:
             None for a call that isn't suspect, the trial of a suspect, or a refusal.
         """
+        await self._exchange.wait_until_served(call.service)
         if not len(self._suspects):
             return None
         fingerprint = poison_fingerprint(call)
         while True:
-            now = trio.current_time()
-            crash_count = self._suspects.crash_count(fingerprint, now)
-            if crash_count == 0:
+            suspect = self._suspects.find(fingerprint, trio.current_time())
+            if suspect is None:
                 return None
-            if crash_count >= CRASHES_TO_QUARANTINE:
+            if suspect.is_quarantined:
                 detail = f"upstreams died while they ran it; {fingerprint}"
                 return Refused(RefusalReason.QUARANTINED, detail)
             if self._local_trial is None:
@@ -171,7 +182,11 @@
         now = trio.current_time()
         for crash_id in response.death_ids:
             self._suspects.record_crash(
-                trial.service, [trial.fingerprint], crash_id, now
+                trial.service,
+                [trial.fingerprint],
+                crash_id,
+                now,
+                is_trial=crash_id in response.trial_death_ids,
             )
         return response.granted
 
@@ -205,7 +220,7 @@
             return
         # Without this message, the coordinator holds the lease until it expires.
         with trio.CancelScope(shield=True):
-            await self._send(coordinator, message)
+            await self._exchange.send(coordinator, message)
 
     async def _handle_loss(self, call: Call, trial: Trial | None) -> None:
         loss = self._current_loss
@@ -235,13 +250,14 @@
             service=service,
             fingerprints=suspect_fingerprints,
             death_id=f"{self._host_id}/{secrets.token_hex(4)}",
+            is_trial=bool(loss.trial_fingerprints),
         )
         for fingerprint in suspect_fingerprints:
             logger.bind(
                 event="suspected", service=service, fingerprint=fingerprint
             ).warning("upstream crashed while running request {}", fingerprint)
         await self._handle_report(report)
-        await self._broadcast(service, report)
+        await self._exchange.broadcast(service, report)
 
     async def _has_crashed(self) -> bool:
         for delay_s in _PROBE_DELAYS_S:
@@ -252,66 +268,56 @@
 
     async def clear(self, fingerprint: str) -> bool:
         """Clears a suspect or quarantined request fleet-wide; False if unknown."""
-        services = [s.service for f, s in self._current_suspects() if f == fingerprint]
-        message = ClearSuspect(fingerprint=fingerprint)
-        await self._handle_clear(message)
-        for service in services:
-            await self._broadcast(service, message)
-        return bool(services)
-
-    async def _broadcast(
-        self, service: ServiceName, message: ReportCrash | ClearSuspect
-    ) -> None:
-        upstreams = self._fleet.upstreams_by_service.get(service, {})
-        async with trio.open_nursery() as nursery:
-            for upstream in upstreams.values():
-                if upstream.host_id != self._host_id:
-                    nursery.start_soon(self._send, upstream, message)
-
-    async def _send(
-        self,
-        upstream: UpstreamAnnounced,
-        message: ReportCrash | ClearSuspect | EndTrial,
-    ) -> None:
-        try:
-            await self._control.send_request(
-                upstream.control_address, message, Acknowledgment, _CONTROL_TIMEOUT_S
-            )
-        except ControlError as error:
-            logger.bind(event="poison_untold", host=upstream.host_id).warning(
-                "could not notify host {} about a suspect: {}", upstream.host_id, error
-            )
+        now = trio.current_time()
+        suspect = self._suspects.find(fingerprint, now)
+        if suspect is None:
+            return False
+        message = ClearSuspect(
+            fingerprint=fingerprint, death_ids=self._suspects.clear(fingerprint, now)
+        )
+        await self._exchange.broadcast(suspect.service, message)
+        return True
 
     async def _handle_report(self, report: ReportCrash) -> Acknowledgment:
         now = trio.current_time()
         self._suspects.record_crash(
-            report.service, report.fingerprints, report.death_id, now
+            report.service,
+            report.fingerprints,
+            report.death_id,
+            now,
+            is_trial=report.is_trial,
         )
         return Acknowledgment()
 
     async def _handle_start_trial(self, request: StartTrial) -> StartTrialResponse:
         now = trio.current_time()
-        matching = [s for f, s in self._current_suspects() if f == request.fingerprint]
-        crash_ids = tuple(matching[0].crash_ids) if matching else ()
-        if len(crash_ids) >= CRASHES_TO_QUARANTINE:
-            return StartTrialResponse(granted=False, death_ids=crash_ids)
+        suspect = self._suspects.find(request.fingerprint, now)
+        crash_ids: tuple[str, ...] = ()
+        trial_crash_ids: tuple[str, ...] = ()
+        if suspect is not None:
+            crash_ids = tuple(suspect.blamed_crash_ids)
+            trial_crash_ids = tuple(suspect.trial_crash_ids)
+        if suspect is not None and suspect.is_quarantined:
+            return StartTrialResponse(
+                granted=False, death_ids=crash_ids, trial_death_ids=trial_crash_ids
+            )
         expires_at = now + request.remaining_ms / 1000 + _TRIAL_GRACE_S
         granted = self._trials.start(
             request.fingerprint, request.host_id, expires_at, now
         )
-        return StartTrialResponse(granted=granted, death_ids=crash_ids)
+        return StartTrialResponse(
+            granted=granted, death_ids=crash_ids, trial_death_ids=trial_crash_ids
+        )
 
     async def _handle_end_trial(self, message: EndTrial) -> Acknowledgment:
         self._trials.end(message.fingerprint, message.host_id)
         return Acknowledgment()
 
     async def _handle_clear(self, message: ClearSuspect) -> Acknowledgment:
-        self._suspects.clear(message.fingerprint)
+        now = trio.current_time()
+        self._suspects.clear(message.fingerprint, now, message.death_ids)
         return Acknowledgment()
 
-    def _current_suspects(self) -> list:
-        return self._suspects.current(trio.current_time())
-
     def statuses(self) -> tuple[QuarantineStatus, ...]:
         """Returns quarantined and suspect requests for the status page."""
         now = trio.current_time()
@@ -319,10 +325,8 @@
             QuarantineStatus(
                 service=suspect.service,
                 fingerprint=fingerprint,
-                deaths=len(suspect.crash_ids),
-                remaining_s=max(
-                    0.0, SUSPECT_LIFETIME_S - (now - suspect.last_crash_at)
-                ),
+                deaths=len(suspect.blamed_crash_ids),
+                remaining_s=max(0.0, suspect.expires_at - now),
             )
-            for fingerprint, suspect in self._current_suspects()
+            for fingerprint, suspect in self._suspects.current(now)
         )
--- a/tests/guard/test_suspects.py
+++ b/tests/guard/test_suspects.py
@@ -23,8 +23,8 @@
 def test_suspects_expire_and_can_be_cleared():
     suspects = SuspectRegistry()
     suspects.record_crash("batches", ["f", "g"], "host/1", 0.0)
-    assert suspects.clear("g")
-    assert not suspects.clear("g")
+    assert suspects.clear("g", 0.0)
+    assert not suspects.clear("g", 0.0)
     assert suspects.crash_count("f", SUSPECT_LIFETIME_S) == 1
     assert suspects.crash_count("f", SUSPECT_LIFETIME_S + 1) == 0
     assert not suspects.current(SUSPECT_LIFETIME_S + 1)
