A host that stops goes on with calls that other daemons have passed on to it

Change: calls of peers that the upstream is running go on until 0.3 s before the end of the grace; the exit moves to 0.15 s before it. Calls of own callers are interrupted as before, and so are calls of peers that are still queued, which are told "not run".

--- a/mangospoke/daemon/hosted_run.py
+++ b/mangospoke/daemon/hosted_run.py
@@ -47,8 +47,13 @@
 _INTERRUPT_RATIO = 0.86
 """Part of `stop_s` after which calls in progress are answered by the daemon itself."""
 
+_INTERRUPT_PEERS_RATIO = 0.91
 _EXIT_RATIO = 0.94
-"""Part of `stop_s` after which the process exits in any case."""
+"""Part of `stop_s` after which the process exits in any case, if that is short."""
+
+_INTERRUPT_PEERS_MARGIN_S = 0.3
+_EXIT_MARGIN_S = 0.15
+"""Time before the end of `stop_s`, when the platform ends the process."""
 
 
 async def run_hosted(
@@ -134,7 +139,10 @@
         notice_s=min(_NOT_READY_NOTICE_S, stop_s * _MAX_NOTICE_RATIO),
         refuse_s=min(_MAX_REFUSE_S, stop_s * _REFUSE_RATIO),
         interrupt_s=stop_s * _INTERRUPT_RATIO,
-        exit_s=stop_s * _EXIT_RATIO,
+        interrupt_peers_s=max(
+            stop_s * _INTERRUPT_PEERS_RATIO, stop_s - _INTERRUPT_PEERS_MARGIN_S
+        ),
+        exit_s=max(stop_s * _EXIT_RATIO, stop_s - _EXIT_MARGIN_S),
     )
 
 
--- a/mangospoke/daemon/run.py
+++ b/mangospoke/daemon/run.py
@@ -33,6 +33,7 @@
     notice_s=DRAIN_NOTICE_S,
     refuse_s=DRAIN_NOTICE_S,
     interrupt_s=55.0,
+    interrupt_peers_s=58.0,
     exit_s=60.0,
 )
 
--- a/mangospoke/daemon/stopping.py
+++ b/mangospoke/daemon/stopping.py
@@ -29,12 +29,15 @@
         refuse_s: From then on new requests are refused, also if they never cease.
             Accepted ones have the time from here to `interrupt_s` to complete.
         interrupt_s: When calls in progress are answered without their upstreams.
+        interrupt_peers_s: When calls that an upstream is running for other daemons are
+            answered without it.
         exit_s: When everything that is left is cancelled.
     """
 
     notice_s: float
     refuse_s: float
     interrupt_s: float
+    interrupt_peers_s: float
     exit_s: float
 
 
@@ -110,8 +113,11 @@
         with trio.move_on_at(started_at + schedule.interrupt_s) as completing:
             await _complete_requests(steps.acceptors, connections)
         if completing.cancelled_caught:
-            interrupted = shutdown.interrupt_calls()
-            _log_phase(shutdown, work, interrupted)
+            _log_phase(shutdown, work, shutdown.interrupt_calls())
+            with trio.move_on_at(started_at + schedule.interrupt_peers_s) as completing:
+                await _complete_requests(steps.acceptors, connections)
+        if completing.cancelled_caught:
+            _log_phase(shutdown, work, shutdown.interrupt_peer_calls())
             await _complete_requests(steps.acceptors, connections)
     if work.count:
         logger.bind(event="stop_incomplete", in_progress=work.count).error(
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -125,7 +125,7 @@
     # The peer closes the connection to cancel the call, also while it is answered.
     record_hang_up = call.cancellation.record_hang_up
     with context.work, context.hang_ups.watch(frames.stream, record_hang_up):
-        outcome = await context.shutdown.execute(call, execute)
+        outcome = await context.shutdown.execute_for_peer(call, execute)
         await _send_outcome(frames, call, outcome, read_load())
         return call.body.content is not None
     return False
--- a/mangospoke/shutdown.py
+++ b/mangospoke/shutdown.py
@@ -1,7 +1,7 @@
 """State of a daemon's graceful shutdown, and the interruption of calls at its end."""
 
 import enum
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 
 import trio
@@ -23,7 +23,8 @@
     `SERVING`: it isn't stopping. `DRAINING`: new requests are served, but callers are
     asked to connect to another host. `REFUSING`: new requests of callers are refused,
     accepted ones complete; calls of peers are refused by the guard. `INTERRUPTING`:
-    accepted requests that still wait for a response are answered without it.
+    accepted requests that still wait for a response are answered without it; calls of
+    peers that an upstream is running go on until the daemon's end.
     """
 
     SERVING = "serving"
@@ -42,7 +43,8 @@
     def __init__(self) -> None:
         self.phase = ShutdownPhase.SERVING
         self._started_at = 0.0
-        self._scopes: set[trio.CancelScope] = set()
+        self._calls_by_scope: dict[trio.CancelScope, Call] = {}
+        self._peer_calls_by_scope: dict[trio.CancelScope, Call] = {}
 
     @property
     def is_draining(self) -> bool:
@@ -70,12 +72,22 @@
         self.phase = ShutdownPhase.REFUSING
 
     def interrupt_calls(self) -> int:
-        """Interrupts the calls in progress and returns their number."""
+        """Interrupts this host's calls in progress; returns how many.
+
+        Calls of peers are interrupted too unless they may be running: their callers
+        wait at a host that may have more time left than this one.
+        """
         self.phase = ShutdownPhase.INTERRUPTING
-        interrupted = list(self._scopes)
-        for scope in interrupted:
-            scope.cancel()
-        return len(interrupted)
+        waiting = [
+            scope
+            for scope, call in self._peer_calls_by_scope.items()
+            if not call.may_have_run
+        ]
+        return _cancel_all([*self._calls_by_scope, *waiting])
+
+    def interrupt_peer_calls(self) -> int:
+        """Interrupts the calls of peers that are left; returns how many."""
+        return _cancel_all(list(self._peer_calls_by_scope))
 
     async def execute(
         self, call: Call, executor: Callable[[Call], Awaitable[Outcome]]
@@ -85,21 +97,44 @@
         A call that arrives after the interruption isn't executed: an executor may send
         it before its first checkpoint, where a cancellation would take effect.
         """
+        return await self._execute(call, executor, self._calls_by_scope)
+
+    async def execute_for_peer(
+        self, call: Call, executor: Callable[[Call], Awaitable[Outcome]]
+    ) -> Outcome:
+        """Executes a call that another daemon passed on; see `execute`."""
+        return await self._execute(call, executor, self._peer_calls_by_scope)
+
+    async def _execute(
+        self,
+        call: Call,
+        executor: Callable[[Call], Awaitable[Outcome]],
+        calls_by_scope: dict[trio.CancelScope, Call],
+    ) -> Outcome:
         if self.phase is ShutdownPhase.INTERRUPTING:
             return _outcome_of_interrupted(call)
         outcome: Outcome | None = None
-        with self._interruptible():
+        with _interruptible(call, calls_by_scope):
             outcome = await executor(call)
         return _outcome_of_interrupted(call) if outcome is None else outcome
 
-    @contextmanager
-    def _interruptible(self) -> Iterator[None]:
-        with trio.CancelScope() as scope:
-            self._scopes.add(scope)
-            try:
-                yield
-            finally:
-                self._scopes.discard(scope)
+
+@contextmanager
+def _interruptible(
+    call: Call, calls_by_scope: dict[trio.CancelScope, Call]
+) -> Iterator[None]:
+    with trio.CancelScope() as scope:
+        calls_by_scope[scope] = call
+        try:
+            yield
+        finally:
+            del calls_by_scope[scope]
+
+
+def _cancel_all(scopes: Sequence[trio.CancelScope]) -> int:
+    for scope in scopes:
+        scope.cancel()
+    return len(scopes)
 
 
 def _outcome_of_interrupted(call: Call) -> Outcome:
--- a/tests/daemon/test_stopping.py
+++ b/tests/daemon/test_stopping.py
@@ -19,7 +19,9 @@
     Verdict,
 )
 
-SCHEDULE = ShutdownSchedule(notice_s=2.0, refuse_s=3.0, interrupt_s=5.0, exit_s=6.0)
+SCHEDULE = ShutdownSchedule(
+    notice_s=2.0, refuse_s=3.0, interrupt_s=5.0, interrupt_peers_s=5.6, exit_s=6.0
+)
 
 
 def make_call():
@@ -65,7 +67,7 @@
         self.stopped_after_s = None
         self.is_finished = False
 
-    async def send(self, duration_s, status=SendStatus.SENT):
+    async def send(self, duration_s, status=SendStatus.SENT, *, from_peer=False):
         if self.shutdown.refuses_requests:
             self.refused_count += 1
             return
@@ -77,7 +79,8 @@
             return Answered(200, [], buffered_body(b""))
 
         with self.work:
-            self.outcomes.append(await self.shutdown.execute(call, execute))
+            run = self.shutdown.execute_for_peer if from_peer else self.shutdown.execute
+            self.outcomes.append(await run(call, execute))
 
     async def finish(self):
         self.is_finished = True
@@ -202,3 +205,34 @@
         nursery.start_soon(send_from_peer)
         await trio.testing.wait_all_tasks_blocked()
         await daemon.stop()
+
+
+async def test_a_running_call_of_a_peer_is_cut_with_those_of_own_callers(
+    autojump_clock,
+):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lambda: daemon.send(5.4, from_peer=True))
+        await trio.testing.wait_all_tasks_blocked()
+        await daemon.stop()
+    assert isinstance(daemon.outcomes[0], Answered)
+
+
+async def test_a_call_of_a_peer_that_outlasts_the_host_is_not_answered(autojump_clock):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lambda: daemon.send(100, from_peer=True))
+        await trio.testing.wait_all_tasks_blocked()
+        await daemon.stop()
+    assert daemon.outcomes[0].verdict is Verdict.MAY_HAVE_RUN
+    assert daemon.stopped_after_s < SCHEDULE.exit_s
+
+
+async def test_a_queued_call_of_a_peer_waits_for_the_end_of_a_host(autojump_clock):
+    daemon = StoppingDaemon()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lambda: daemon.send(100, SendStatus.UNSENT, from_peer=True))
+        await trio.testing.wait_all_tasks_blocked()
+        await daemon.stop()
+    assert daemon.outcomes[0].verdict is Verdict.NOT_RUN
+    assert daemon.stopped_after_s < SCHEDULE.interrupt_peers_s
--- a/tests/platform/test_long_grace.py
+++ b/tests/platform/test_long_grace.py
@@ -26,7 +26,8 @@
     assert schedule.refuse_s < MAX_EXCUSED_SENDING_S
     assert schedule.interrupt_s > stop_s * 5 / 6
     assert schedule.notice_s <= schedule.refuse_s < schedule.interrupt_s
-    assert schedule.interrupt_s < schedule.exit_s < stop_s
+    assert schedule.interrupt_s < schedule.interrupt_peers_s
+    assert schedule.interrupt_peers_s < schedule.exit_s < stop_s
 
 
 async def test_a_late_request_in_a_long_stop_is_not_cut(tmp_path):
--- a/tests/platform/test_stop_under_load.py
+++ b/tests/platform/test_stop_under_load.py
@@ -131,6 +131,27 @@
     assert not unanswered
 
 
+@pytest.mark.parametrize("work_s", [5.4, 5.6])
+async def test_a_host_that_stops_earlier_cuts_calls_of_one_that_stops_later(
+    work_s, tmp_path
+):
+    requests = [Request(f"/book/n?work={work_s}", "POST") for _ in range(8)]
+    async with run_fleet(tmp_path) as fleet:
+        journal = Journal()
+        async with trio.open_nursery() as nursery:
+            for request in requests:
+                nursery.start_soon(send_once, journal, fleet.front.outbound, request)
+            await trio.sleep(0.1)
+            send_signal(fleet.back, signal.SIGTERM)
+            await trio.sleep(1.3)
+            stop = Stop(trio.current_time(), DEFAULT_GRACE_S)
+            send_signal(fleet.front, signal.SIGTERM)
+            await wait_for_exit(fleet.front, stop)
+        runs = fleet.back.upstream.runs
+    check_nothing_lost(journal, runs, stop)
+    assert [sent.status for sent in journal.sent_by_id.values()] == [200] * 8
+
+
 async def stop_with_requests(fleet, requests, grace_s, *, after_s=0.4):
     """Sends requests over connections of their own, then SIGTERM to the front."""
     journal = Journal()
