--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -133,7 +133,12 @@
         )
         self.control = PeerControlChannel(self.peers)
         self.quarantine = QuarantineController(
-            settings.host.id, self.fleet, self.control, self.guard.accepts_connections
+            settings.host.id,
+            domain,
+            self.fleet,
+            self.control,
+            self.guard.accepts_connections,
+            lambda: hosted_settings.upstream_service,
         )
         self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
@@ -285,6 +290,7 @@
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
             "cold starts": self.guard.cold_starts.run,
+            "suspects": self.quarantine.run,
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
             "peer connections": self.peers.run,
