Write nothing to a caller's connection out of turn

Cause: an interim response (100 Continue) was written while its request was read, without waiting for the responses to earlier requests; it stood inside the body of one. `Stream.try_send` moreover replaced bytes that a full socket had not taken yet.

Change: a request's cycle knows the response before it and waits for that, or for the caller's body, before it writes an interim response. A stream keeps the order of all bytes passed in, and only one task waits for a full socket.

--- a/mangospoke/http/reading.py
+++ b/mangospoke/http/reading.py
@@ -13,6 +13,7 @@
     streamed_body,
 )
 from mangospoke.http.messages import HttpRequest
+from mangospoke.http.pending_responses import PendingResponse
 from mangospoke.streams import Stream
 
 HEAD_TOO_LARGE_STATUS = 431
@@ -41,31 +42,49 @@
 
     A caller may pipeline requests, so that each request has an h11 connection of its
     own, which starts with the bytes left over from the previous one.
+
+    Args:
+        stream: The connection.
+        limits: Size limits and timeouts of requests.
+        received: Bytes that have been received after the previous request.
+        previous: The response before this cycle's; None if there is none. Nothing is
+            written before it is finished.
     """
 
-    def __init__(self, stream: Stream, limits: Limits, received: bytes = b"") -> None:
+    def __init__(
+        self,
+        stream: Stream,
+        limits: Limits,
+        received: bytes = b"",
+        previous: PendingResponse | None = None,
+    ) -> None:
         self.stream = stream
         self.limits = limits
+        self._previous = previous
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
         if received:
             self.http.receive_data(received)
 
-    def next(self) -> "RequestCycle":
-        """Returns the cycle of the next request; this one has been read completely."""
-        return RequestCycle(self.stream, self.limits, self.http.trailing_data[0])
-
-    async def next_event(self, deadline: float) -> object:
-        """Returns the next h11 event.
+    def next(self, previous: PendingResponse | None) -> "RequestCycle":
+        """Returns the cycle of the next request; this one has been read completely.
 
         Args:
-            deadline: Time on trio's clock, in seconds, by which it must be received.
+            previous: The response to the last request.
+        """
+        received = self.http.trailing_data[0]
+        return RequestCycle(self.stream, self.limits, received, previous)
+
+    async def next_event(self) -> object:
+        """Returns the next h11 event.
 
         Raises:
-            BadRequestError: If the caller violated the protocol or missed the deadline.
+            BadRequestError: If the caller violated the protocol or sent it too slowly.
+            CallerDisconnectedError: If the caller doesn't read an interim response.
             trio.BrokenResourceError: If the connection is broken.
         """
+        deadline = self.progress_deadline()
         while True:
             try:
                 event = self.http.next_event()
@@ -74,9 +93,30 @@
             if event is not h11.NEED_DATA:
                 return event
             if self.http.they_are_waiting_for_100_continue:
-                await self._send_continue()
+                if await self._wait_for_turn_or_input():
+                    await self._send_continue()
+                deadline = self.progress_deadline()
             self.http.receive_data(await self._receive(deadline))
 
+    async def _wait_for_turn_or_input(self) -> bool:
+        """Waits until this cycle may write or the caller sends; returns which.
+
+        A caller that waits for an interim response may send its body without one.
+        """
+        previous = self._previous
+        if previous is None or previous.finished.is_set():
+            return True
+        async with trio.open_nursery() as nursery:
+
+            async def wait_for_turn() -> None:
+                await previous.finished.wait()
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait_for_turn)
+            await self.stream.wait_for_input()
+            nursery.cancel_scope.cancel()
+        return previous.finished.is_set()
+
     def progress_deadline(self) -> float:
         """Time on trio's clock by which the head or the next chunk must be complete."""
         return trio.current_time() + self.limits.head_timeout_ms / 1000
@@ -85,7 +125,7 @@
         response = h11.InformationalResponse(status_code=100, headers=[])
         content = self.http.send(response)
         assert content is not None
-        await self.stream.send_all(content)
+        await self.send(content)
 
     async def send(self, content: bytes) -> None:
         """Sends bytes to the caller.
@@ -126,7 +166,7 @@
         if not content:
             return None
         cycle.http.receive_data(content)
-    event = await cycle.next_event(cycle.progress_deadline())
+    event = await cycle.next_event()
     if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
         return None
     assert isinstance(event, h11.Request)
@@ -178,7 +218,7 @@
     chunks: list[bytes] = []
     size = 0
     while size <= limits.buffered_body_bytes:
-        event = await cycle.next_event(cycle.progress_deadline())
+        event = await cycle.next_event()
         if isinstance(event, h11.EndOfMessage):
             return buffered_body(b"".join(chunks))
         if isinstance(event, h11.ConnectionClosed):
@@ -209,8 +249,12 @@
         yield chunk
     while True:
         try:
-            event = await cycle.next_event(cycle.progress_deadline())
-        except (BadRequestError, trio.BrokenResourceError) as error:
+            event = await cycle.next_event()
+        except (
+            BadRequestError,
+            CallerDisconnectedError,
+            trio.BrokenResourceError,
+        ) as error:
             raise IncompleteBodyError(str(error)) from error
         if isinstance(event, h11.EndOfMessage):
             return
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -160,7 +160,7 @@
         cycle = RequestCycle(self.stream, self._context.limits)
         try:
             while await self._start_request(cycle, nursery):
-                cycle = cycle.next()
+                cycle = cycle.next(self._last_response)
         except BadRequestError as error:
             await self._reject_request(cycle, error)
 
--- a/mangospoke/streams.py
+++ b/mangospoke/streams.py
@@ -29,12 +29,18 @@
 
 
 class Stream:
-    """A TCP connection."""
+    """A TCP connection.
+
+    Bytes are sent in the order in which they were passed in, also if a sender is
+    cancelled before the kernel has taken all of its bytes: the next one sends the rest
+    first.
+    """
 
     def __init__(self, sock: trio.socket.SocketType) -> None:
         self._socket = sock
         self._descriptor = sock.fileno()
         self._unsent = memoryview(b"")
+        self._flush_lock = trio.Lock()
 
     def fileno(self) -> int:
         """Returns the socket's file descriptor, or -1 after closing."""
@@ -53,12 +59,15 @@
     def try_send(self, content: bytes) -> bool:
         """Sends as much as possible without blocking; returns whether all was sent.
 
-        Otherwise `finish_send` must be called before anything else is sent.
+        Otherwise `finish_send` sends the rest.
 
         Raises:
             trio.BrokenResourceError: If the connection is broken.
             trio.ClosedResourceError: If it was closed locally.
         """
+        if self._unsent:
+            self._unsent = memoryview(bytes(self._unsent) + content)
+            return False
         self._unsent = memoryview(content)
         return self._write_unsent()
 
@@ -82,11 +91,12 @@
             trio.BrokenResourceError: If the connection is broken.
             trio.ClosedResourceError: If it was closed locally.
         """
-        while self._unsent:
-            if self._descriptor < 0:
-                raise trio.ClosedResourceError
-            await trio.lowlevel.wait_writable(self._descriptor)
-            self._write_unsent()
+        async with self._flush_lock:
+            while self._unsent:
+                if self._descriptor < 0:
+                    raise trio.ClosedResourceError
+                await trio.lowlevel.wait_writable(self._descriptor)
+                self._write_unsent()
 
     async def receive_some(self) -> bytes:
         """Waits for bytes and returns them; empty once the peer has sent EOF.
@@ -106,6 +116,16 @@
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
 
+    async def wait_for_input(self) -> None:
+        """Waits until bytes or EOF can be read, or the stream is closed."""
+        if self._descriptor < 0:
+            return
+        try:
+            await trio.lowlevel.wait_readable(self._descriptor)
+        except trio.ClosedResourceError:
+            # The next read reports it.
+            return
+
     def send_eof(self) -> None:
         """Closes the sending direction; the peer may continue to send.
 
