Let no answer that can't be tied to a request decide about it

Cause: "not run" without an id was taken as the answer to the present request on any kept connection, so that a late second copy of a shed answer refused the next request, which ran. A 421 without an id was dropped, and its request waited until its deadline.

Change: an answer without an id ends the use of its connection. "Not run" without an id, 421 too, is believed only as the first answer without an id on its connection, and if no bytes were there right after the request was written. A request that is sent again under the same id takes a connection on which it wasn't answered. A late answer ends a HEAD exchange, since its framing isn't known. Upstreams declared not to return ids get a connection for each request.

--- a/mangospoke/guard/dialect.py
+++ b/mangospoke/guard/dialect.py
@@ -69,6 +69,11 @@
     rate_limit: float | UnreadableLimit | None = None
     is_leaving: bool = False
 
+    @property
+    def states_not_run(self) -> bool:
+        """Whether the upstream states in any way that it did not run the request."""
+        return self.not_run or self.is_other_instance
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamDialect:
--- a/mangospoke/guard/upstream.py
+++ b/mangospoke/guard/upstream.py
@@ -1,8 +1,16 @@
-"""Pooled connections to the local upstream, and the execution of calls over them."""
+"""Pooled connections to the local upstream, and the execution of calls over them.
+
+A faulty upstream may send a second copy of a response, late, where the next one is
+expected. What ties a response to a request is its id. A response without an id ends
+the use of its connection, so that no copy of it meets a later request, and decides
+nothing unless it is proved to be no copy itself; see `_UpstreamExchange`. A request
+that is sent again after "not run" has the same id, and so takes another connection.
+"""
 
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from weakref import WeakKeyDictionary
 
 import trio
 
@@ -25,7 +33,7 @@
 )
 from mangospoke.http.messages import HttpResponse
 from mangospoke.http.pool import IdleConnectionPool
-from mangospoke.ids import ExecutionToken, InstanceId
+from mangospoke.ids import ExecutionToken, InstanceId, RequestId
 from mangospoke.verdicts import (
     Answered,
     FailureReason,
@@ -39,34 +47,50 @@
 _IDLE_MARGIN_S = 1.5
 """Time before the announced idle timeout from which a connection isn't reused."""
 
+_MAX_REFUSED_IDS = 64
+"""Requests that were answered "not run" on one connection before it is closed."""
+
 ResponseObserver = Callable[[HttpResponse, ResponseMetadata, float], None]
 """Called with each response of the upstream, and with the time on trio's clock at which
 its request was sent."""
 
 
-@dataclass(frozen=True, slots=True)
-class _IdleConnection:
-    """An idle connection.
-
-    Attributes:
-        usable_until: Point on trio's clock from which the upstream may close it.
-    """
-
-    connection: HttpConnection
-    usable_until: float
-
-
 @dataclass(slots=True)
 class _UpstreamExchange:
     """One request over one connection, and the metadata of its last response.
 
     Attributes:
-        is_matching: Whether that response belongs to the request.
+        expected_id: The request's id.
+        echoes_request_id: Whether the upstream's responses have the request's id.
+        is_matching: Whether the last response belongs to the request.
+        is_last: Whether the connection can't be used again: a response without an id
+            has been received, of which a copy may follow.
     """
 
     connection: HttpConnection
+    expected_id: bytes
+    echoes_request_id: bool
     metadata: ResponseMetadata = ResponseMetadata()
     is_matching: bool = False
+    is_last: bool = False
+
+    def match(self, metadata: ResponseMetadata) -> bool:
+        """Returns whether a response belongs to the request.
+
+        An upstream states "not run" without an id if it has not read the request that
+        far. Such a response is no copy of an earlier one if no response before it on
+        this connection lacked an id, and none had arrived before the request was sent.
+        """
+        self.metadata = metadata
+        if metadata.request_id is not None:
+            self.is_matching = metadata.request_id == self.expected_id
+            return self.is_matching
+        is_first = not self.is_last
+        self.is_last = True
+        has_right_form = not self.echoes_request_id or metadata.states_not_run
+        is_no_copy = is_first and not self.connection.had_early_input
+        self.is_matching = has_right_form and is_no_copy
+        return self.is_matching
 
 
 class UpstreamConnectionPool:
@@ -89,6 +113,9 @@
         self._limits = limits
         self._dialect = dialect
         self._idle = IdleConnectionPool()
+        self._refused_ids: WeakKeyDictionary[HttpConnection, set[RequestId]] = (
+            WeakKeyDictionary()
+        )
         self._in_use_count = 0
 
     async def execute(
@@ -120,14 +147,16 @@
         instance: InstanceId | None,
     ) -> Outcome:
         try:
-            connection = await self._take_connection()
+            connection = await self._take_connection(call.request_id)
         except ConnectError as error:
             return Refused(RefusalReason.UPSTREAM_UNREACHABLE, str(error))
-        exchange = _UpstreamExchange(connection)
+        exchange = _UpstreamExchange(
+            connection, call.request_id.encode(), echoes_request_id
+        )
         headers = self._dialect.request_headers(call, token, instance)
         is_finished = False
         try:
-            outcome = await self._exchange(exchange, call, headers, echoes_request_id)
+            outcome = await self._exchange(exchange, call, headers)
             is_finished = isinstance(outcome, Answered | Refused)
         finally:
             if not is_finished:
@@ -136,11 +165,18 @@
                     await connection.aclose()
         if isinstance(outcome, Answered) and outcome.body.content is None:
             return outcome
+        if exchange.metadata.states_not_run:
+            refused_ids = self._refused_ids.setdefault(connection, set())
+            refused_ids.add(call.request_id)
+            exchange.is_last |= len(refused_ids) >= _MAX_REFUSED_IDS
         await self._return_connection(exchange)
         return outcome
 
-    async def _take_connection(self) -> HttpConnection:
-        idle = await self._idle.acquire()
+    async def _take_connection(self, request_id: RequestId) -> HttpConnection:
+        """Returns a connection on which the request has not been answered yet."""
+        idle = await self._idle.acquire(
+            lambda connection: request_id not in self._refused_ids.get(connection, ())
+        )
         return idle or await open_connection(
             self.address, self._limits.head_bytes, _CONNECT_TIMEOUT_S
         )
@@ -150,19 +186,9 @@
         exchange: _UpstreamExchange,
         call: Call,
         headers: list[tuple[bytes, bytes]],
-        echoes_request_id: bool,
     ) -> Outcome:
-        expected_id = call.request_id.encode()
-
         def is_matching(response: HttpResponse) -> bool:
-            metadata = exchange.metadata = self._dialect.read_metadata(response)
-            echoed_id = metadata.request_id
-            # A response that states "not run" may lack the request id.
-            matches = echoed_id == expected_id or (
-                echoed_id is None and metadata.not_run
-            )
-            exchange.is_matching = matches or not echoes_request_id
-            return exchange.is_matching
+            return exchange.match(self._dialect.read_metadata(response))
 
         # From here on, the upstream may receive a part of the request head.
         call.send_status = SendStatus.SENT
@@ -185,7 +211,7 @@
         except IncompleteRequestError as error:
             return Unanswered(FailureReason.REQUEST_BROKEN, str(error))
         if not exchange.is_matching:
-            detail = "the answer carries another request's id"
+            detail = "the answer can't be tied to this request"
             return Unanswered(FailureReason.CROSSED_ANSWER, detail)
         if exchange.metadata.report is not None:
             self.report = exchange.metadata.report
@@ -201,7 +227,8 @@
 
     async def _return_connection(self, exchange: _UpstreamExchange) -> None:
         has_room = self._in_use_count + len(self._idle) <= self.max_connections
-        if has_room and exchange.connection.is_reusable():
+        can_stay = has_room and not exchange.is_last
+        if can_stay and exchange.connection.is_reusable():
             usable_until = trio.current_time() + _reusable_s(exchange.metadata)
             self._idle.release(exchange.connection, usable_until)
         else:
--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -62,7 +62,13 @@
 
 
 class HttpConnection:
-    """A connection to an upstream that carries one request at a time."""
+    """A connection to an upstream that carries one request at a time.
+
+    Attributes:
+        had_early_input: Whether bytes had arrived by the time at which the head of the
+            last request was written, on a connection that had been used before. They
+            may be a late part of an earlier exchange.
+    """
 
     def __init__(self, stream: Stream, max_head_bytes: int) -> None:
         self._stream = stream
@@ -72,6 +78,8 @@
         self._is_sending = False
         self._received_eof = False
         self._is_start_checked = False
+        self._is_used = False
+        self.had_early_input = False
 
     async def exchange(
         self,
@@ -169,6 +177,10 @@
     def _discard_response(self, method: bytes, response: HttpResponse) -> bool:
         """Prepares to read the next response; False if the connection can't go on."""
         http = self._h11
+        if method == b"HEAD":
+            # A response to an earlier request may have a body, which would be read as
+            # the next response.
+            return False
         is_buffered = response.body.content is not None
         if self._is_sending or not is_buffered or http.their_state is not h11.DONE:
             return False
@@ -202,11 +214,9 @@
     async def _send_request(self, head: bytes, body: Body) -> None:
         try:
             if body.content is not None:
-                await self._stream.send_all(
-                    head + self._encode_buffered_body(body.content)
-                )
+                await self._send_start(head + self._encode_buffered_body(body.content))
             else:
-                await self._stream.send_all(head)
+                await self._send_start(head)
                 await self._send_streamed_body(body)
         except trio.BrokenResourceError:
             # The upstream may have sent a response before it closed its side.
@@ -214,6 +224,14 @@
         except (IncompleteBodyError, h11.LocalProtocolError) as error:
             raise IncompleteRequestError(str(error)) from error
 
+    async def _send_start(self, content: bytes) -> None:
+        """Sends the first bytes of a request, and checks for input that precedes it."""
+        is_sent = self._stream.try_send(content)
+        self.had_early_input = self._is_used and self._stream.has_input()
+        self._is_used = True
+        if not is_sent:
+            await self._stream.finish_send()
+
     def _encode_buffered_body(self, content: bytes) -> bytes:
         data = self._h11.send(h11.Data(data=content)) if content else b""
         return (data or b"") + (self._h11.send(h11.EndOfMessage()) or b"")
--- a/mangospoke/http/pool.py
+++ b/mangospoke/http/pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections to one address."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -8,7 +9,7 @@
 from mangospoke.http.client import HttpConnection
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _IdleConnection:
     """A connection in the pool.
 
@@ -21,6 +22,11 @@
     expires_at: float
 
 
+def _always(connection: HttpConnection) -> bool:
+    """Accepts every connection."""
+    return True
+
+
 class IdleConnectionPool:
     """A pool that hands out the most recently used connection first."""
 
@@ -30,14 +36,21 @@
     def __len__(self) -> int:
         return len(self._idle)
 
-    async def acquire(self) -> HttpConnection | None:
+    async def acquire(
+        self, suits: Callable[[HttpConnection], bool] = _always
+    ) -> HttpConnection | None:
         """Removes and returns a usable connection; None if there is none.
 
         Connections that are found stale or expired are closed.
+
+        Args:
+            suits: Returns whether a connection suits; others stay in the pool.
         """
         now = trio.current_time()
-        while self._idle:
-            idle = self._idle.pop()
+        for idle in reversed(self._idle.copy()):
+            if not suits(idle.connection):
+                continue
+            self._idle.remove(idle)
             if now < idle.expires_at and not idle.connection.is_stale():
                 return idle.connection
             await idle.connection.aclose()
