Read numbers of any length from callers, upstreams and heartbeats

Cause: `int` raises an error for more than 4,300 digits; a `Timeout-Ms` of 5,000 digits was answered 500. The store's era and the load header were read in the same way, and a heartbeat's whole numbers had no bounds.

Change: one function reads whole numbers; larger ones count as 2**53 - 1. A heartbeat with a negative or larger number names no upstream (400).

--- a/mangospoke/ingress/calls.py
+++ b/mangospoke/ingress/calls.py
@@ -18,6 +18,7 @@
     KeyId,
     RequestId,
 )
+from mangospoke.numbers import parse_whole_number
 from mangospoke.verdicts import Headers, RefusalReason, Refused
 
 _FIELDS_NOT_FORWARDED = (
@@ -160,10 +161,10 @@
 
 def _deadline_s(request: HttpRequest, route: EffectiveRoute) -> float:
     """Returns the route's deadline or a shorter one that the caller requested."""
-    requested_ms = request.field(fields.DEADLINE)
-    if requested_ms is None or not requested_ms.isdigit():
+    requested_ms = parse_whole_number(request.field(fields.DEADLINE) or b"")
+    if requested_ms is None:
         return route.deadline_s
-    return min(route.deadline_s, int(requested_ms) / 1000)
+    return min(route.deadline_s, requested_ms / 1000)
 
 
 def _forwarded_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
--- a/mangospoke/platform/headers.py
+++ b/mangospoke/platform/headers.py
@@ -13,6 +13,7 @@
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import ExecutionToken, InstanceId, RequestId, ServiceName
 from mangospoke.ingress.dialect import CallerDialect, CallerFields
+from mangospoke.numbers import parse_whole_number
 from mangospoke.platform.configuration import digest_key
 from mangospoke.verdicts import (
     RULES_BY_REFUSAL,
@@ -62,17 +63,22 @@
 def _read_fields(request: HttpRequest) -> CallerFields:
     by_name = dict(request.headers)
     request_id = by_name.get(_REQUEST_ID)
-    timeout_ms = by_name.get(_TIMEOUT, b"")
     key = by_name.get(_KEY)
     return CallerFields(
         host=by_name.get(b"host", b"").decode("latin-1"),
         request_id=RequestId(request_id.decode("latin-1")) if request_id else None,
-        timeout_s=int(timeout_ms) / 1000 if timeout_ms.isdigit() else None,
+        timeout_s=_parse_ms(by_name.get(_TIMEOUT, b"")),
         key_id=digest_key(key) if key is not None else None,
         parent_id=_parse_parent_id(request_id or b""),
     )
 
 
+def _parse_ms(value: bytes) -> float | None:
+    """Parses whole milliseconds into seconds."""
+    milliseconds = parse_whole_number(value)
+    return milliseconds / 1000 if milliseconds is not None else None
+
+
 def _parse_parent_id(request_id: bytes) -> RequestId:
     """Returns the id before the last point.
 
@@ -149,7 +155,8 @@
 def _parse_server_load(value: bytes | None) -> UpstreamReport | None:
     """Parses the comma-separated counts of running requests, waiting ones and slots."""
     parts = value.split(b",") if value is not None else []
-    numbers = [int(part) for part in parts if part.strip().isdigit()]
+    parsed = [parse_whole_number(part.strip()) for part in parts]
+    numbers = [number for number in parsed if number is not None]
     if len(numbers) != _SERVER_LOAD_VALUES:
         return None
     return UpstreamReport(*numbers)
@@ -160,8 +167,7 @@
     if value is None:
         return None
     _, _, value_tail = value.partition(b"timeout=")
-    digits = value_tail.partition(b",")[0].strip()
-    return float(digits) if digits.isdigit() else None
+    return parse_whole_number(value_tail.partition(b",")[0].strip())
 
 
 UPSTREAM_DIALECT = UpstreamDialect(
--- a/mangospoke/platform/heartbeats.py
+++ b/mangospoke/platform/heartbeats.py
@@ -1,14 +1,16 @@
 """Handles heartbeats of this host's upstream, sent to the `control` address."""
 
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 from loguru import logger
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import InstanceId, ServiceName
+from mangospoke.numbers import MAX_WHOLE_NUMBER
 from mangospoke.platform.bounds import parse_duration_ms
 from mangospoke.state.registrar import Heartbeat, HeartbeatState
 
@@ -17,6 +19,8 @@
     "ready": HeartbeatState.SERVING,
     "draining": HeartbeatState.DRAINING,
 }
+_WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -24,7 +28,7 @@
     """What stays the same while an upstream runs."""
 
     service: str
-    slots: int
+    slots: _WholeNumber
 
 
 class _UpstreamStatus(Struct, frozen=True, rename="camel"):
@@ -37,7 +41,7 @@
     """
 
     state: str
-    seq: int
+    seq: _WholeNumber
     cold_left: str = "0ms"
 
 
@@ -52,7 +56,7 @@
     address: str
     info: _UpstreamInfo
     status: _UpstreamStatus
-    born: int = 0
+    born: _WholeNumber = 0
 
 
 class HeartbeatRequestHandler:
@@ -107,6 +111,7 @@
     """
     try:
         body = msgspec.json.decode(content, type=_HeartbeatBody)
+        cold_left_ms = parse_duration_ms(body.status.cold_left)
         return Heartbeat(
             instance=instance,
             service=ServiceName(body.info.service),
@@ -115,7 +120,7 @@
             state=_STATES_BY_NAME[body.status.state],
             started_at_ms=body.born,
             sequence=body.status.seq,
-            cold_left_ms=int(parse_duration_ms(body.status.cold_left)),
+            cold_left_ms=int(min(cold_left_ms, MAX_WHOLE_NUMBER)),
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         logger.bind(event="heartbeat_unreadable", instance=instance).warning(
--- a/mangospoke/platform/store.py
+++ b/mangospoke/platform/store.py
@@ -24,6 +24,7 @@
 )
 from mangospoke.logservice.era import LogEra
 from mangospoke.logservice.keyed import KeyedBatch, KeyedRecord, WriteId
+from mangospoke.numbers import parse_whole_number
 
 CONFIGURATION_TOPIC = "keyed.op"
 """Only the operator writes to it."""
@@ -201,7 +202,7 @@
 def _read_era(response: HttpResponse) -> int | None:
     """Returns the era that a response names; None if there is none to be read."""
     value = find_field(response.headers, _ERA)
-    return int(value) if value is not None and value.isdigit() else None
+    return parse_whole_number(value) if value is not None else None
 
 
 def _require_content(response: HttpResponse) -> bytes:
