--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 STAMP := $(VENV)/.installed
 
-.PHONY: env demo test lint format types docs bench clean
+.PHONY: env demo test lint format types docs review bench clean
 
 env: $(STAMP)
 
@@ -35,3 +35,15 @@
 
 clean:
 	rm -rf $(VENV)
+
+# Runs all cases of the independent review, also after one has failed.
+review: env
+	$(VENV)/bin/pip install --quiet --upgrade --target target/deps --requirement deploy/requirements.txt
+	review/build.sh
+	@failed=; \
+	for script in review/*/run.sh; do \
+		echo "== $$script"; \
+		$$script || failed="$$failed $$script"; \
+	done; \
+	if [ -n "$$failed" ]; then echo "failed:$$failed"; exit 1; fi; \
+	echo "all cases of the review held"
