--- a/mangospoke/guard/dialect.py
+++ b/mangospoke/guard/dialect.py
@@ -83,6 +83,11 @@
     cold_left_s: float | None = None
     instance: InstanceId | None = None
 
+    @property
+    def states_not_run(self) -> bool:
+        """Whether the upstream states in any way that it did not run the request."""
+        return self.not_run or self.is_other_instance
+
 
 @dataclass(frozen=True, slots=True)
 class UpstreamDialect:
--- a/mangospoke/platform/heartbeats.py
+++ b/mangospoke/platform/heartbeats.py
@@ -1,12 +1,15 @@
 """Handles heartbeats of this host's upstream, sent to the `control` address."""
 
+from typing import Annotated
+
 import msgspec
 from loguru import logger
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import FailureDomainId, InstanceId, ServiceName
+from mangospoke.numbers import MAX_WHOLE_NUMBER
 from mangospoke.platform.bounds import parse_duration_ms
 from mangospoke.state.heartbeats import Heartbeat, HeartbeatReceiver, HeartbeatState
 
@@ -18,6 +21,7 @@
 }
 _MAX_COLD_LEFT_MS = 3_600_000
 """Longer times are taken for this one."""
+_WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -26,7 +30,7 @@
     """What stays the same while an upstream runs."""
 
     service: str
-    slots: int
+    slots: _WholeNumber
     zone: str = ""
 
 
@@ -40,7 +44,7 @@
     """
 
     state: str
-    seq: int
+    seq: _WholeNumber
     cold_left: str | None = None
 
 
@@ -55,7 +59,7 @@
     address: str
     info: _UpstreamInfo
     status: _UpstreamStatus
-    born: int = 0
+    born: _WholeNumber = 0
 
 
 class HeartbeatRequestHandler:
