--- a/mangospoke/platform/headers.py
+++ b/mangospoke/platform/headers.py
@@ -51,8 +51,8 @@
 
 _MISDIRECTED_STATUS = 421
 _SERVER_LOAD_COUNTS = 3
-_MAX_LOAD_NUMBER = 1_000_000
-"""Larger numbers in an upstream's load aren't believed."""
+_MAX_SLOWNESS_PERCENT = 100_000
+"""Larger numbers aren't believed."""
 
 
 _NOT_EXECUTED_STATUS = 503
@@ -169,7 +169,7 @@
     ignored.
     """
     parts = value.split(b",") if value is not None else []
-    counts = [_parse_load_number(part) for part in parts[:_SERVER_LOAD_COUNTS]]
+    counts = [parse_whole_number(part.strip()) for part in parts[:_SERVER_LOAD_COUNTS]]
     if len(counts) < _SERVER_LOAD_COUNTS or None in counts:
         return None
     running, waiting, slots = (count or 0 for count in counts)
@@ -180,13 +180,10 @@
     """Returns how many times longer than usual work takes on the machine now."""
     if len(parts) <= _SERVER_LOAD_COUNTS:
         return 1.0
-    percent = _parse_load_number(parts[_SERVER_LOAD_COUNTS])
-    return percent / 100 if percent else 1.0
-
-
-def _parse_load_number(text: bytes) -> int | None:
-    number = parse_whole_number(text.strip())
-    return None if number is None or number > _MAX_LOAD_NUMBER else number
+    percent = parse_whole_number(parts[_SERVER_LOAD_COUNTS].strip())
+    if not percent or percent > _MAX_SLOWNESS_PERCENT:
+        return 1.0
+    return percent / 100
 
 
 def _parse_idle_timeout_s(value: bytes | None) -> float | None:
