Evacuation: an operator empties a failure domain, obeyed within its bound

Change: an order is the record evacuate/DOMAIN of the operator's topic. The set of evacuated domains, as of an era and offset of the topic, passes between daemons with the answers that pass the configuration; the later state wins. Senders leave those upstreams out at once; the daemon beside one refuses what comes and what is queued as not run (reason evacuated, placed elsewhere without a retry) 0.15 of the bound after it knows, and at once if it finds the order at its start. A domain that is taken back gets a share that grows from 0.1 to 1 in 10 s. Services that are left without an upstream are refused and logged as errors, in the status and in mangospoke_service_evacuated.

--- a/mangospoke/control/messages.py
+++ b/mangospoke/control/messages.py
@@ -4,12 +4,16 @@
 
 from mangospoke.ids import (
     ClientAccountId,
+    FailureDomainId,
     HostId,
     IdempotencyKey,
     Incarnation,
     ServiceName,
 )
 
+MAX_ERA = 2**62
+"""Later than any era of the log service."""
+
 
 class Message(Struct, frozen=True, array_like=True):
     """Base of control messages; the tag identifies the type on the wire."""
@@ -109,16 +113,33 @@
     busy: bool = False
 
 
+class EvacuationState(Struct, frozen=True, array_like=True):
+    """The evacuated failure domains, as of a state of the operator's topic.
+
+    Attributes:
+        era: Era of the log service that the offset belongs to.
+        offset: Offset up to which all orders are included.
+        domains: The evacuated domains.
+    """
+
+    era: int
+    offset: int
+    domains: tuple[FailureDomainId, ...]
+
+
 class GetConfiguration(Message, frozen=True, tag="ask-configuration"):
     """Asks a host for the version and the age of its configuration.
 
     Attributes:
         version: The sender's version.
         digest: Digest of the sender's content of that version; 0 if not told.
+        evacuations: Era and offset of the sender's `EvacuationState`; by default, one
+            that no state is later than.
     """
 
     version: int
     digest: int = 0
+    evacuations: tuple[int, int] = (MAX_ERA, 0)
 
 
 class GetConfigurationResponse(Message, frozen=True, tag="configuration-told"):
@@ -130,12 +151,15 @@
         content: The configuration as stored in the log service, if it is newer than
             the requester's, or another under the same version; otherwise None.
         digest: Digest of the responder's content; 0 if not told.
+        evacuations: The evacuated failure domains, if the responder knows a later
+            state of them than the requester.
     """
 
     version: int
     age_ms: float
     content: bytes | None = None
     digest: int = 0
+    evacuations: EvacuationState | None = None
 
 
 class HostRecord(Struct, frozen=True, array_like=True):
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -19,6 +19,7 @@
 from mangospoke.daemon.platform_adapter import PlatformAdapter
 from mangospoke.daemon.status import read_hosted_status
 from mangospoke.daemon.supervision import Service
+from mangospoke.guard.evacuation import EvacuationGate
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
 from mangospoke.hangups import HangUpMonitor
@@ -46,6 +47,7 @@
 from mangospoke.routing.probing import probe_ejected_hosts
 from mangospoke.routing.retries import FleetRetryBudget
 from mangospoke.shutdown import Shutdown
+from mangospoke.state.evacuated_services import EvacuatedServices
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.heartbeats import make_heartbeat_check
@@ -65,6 +67,10 @@
 """Part of the fleet's retries that is used, since a retry repeats sub-calls too."""
 
 _MAX_REROUTES = 2
+_EVACUATION_NOTICE_RATIO = 0.15
+"""Part of `evacuation_s` in which the upstream of an evacuated domain still gets
+requests once its daemon knows. It may have learned late itself."""
+
 _DRAIN_NOTICE_RATIO = 0.35
 """Part of `drain_s` in which new requests are still accepted."""
 
@@ -99,6 +105,16 @@
             guarantees.drain_s * _DRAIN_NOTICE_RATIO,
             adapts_limit=False,
         )
+        self.evacuated_services = EvacuatedServices(
+            self.fleet, hosted_settings.failure_domains
+        )
+        self.evacuation_gate = EvacuationGate(
+            self.fleet.evacuations,
+            domain,
+            guarantees.evacuation_s * _EVACUATION_NOTICE_RATIO,
+            self.guard.refuse_queued,
+        )
+        self.guard.is_evacuated = self.evacuation_gate.is_closed
         self.registrar = HostRegistrar(
             settings,
             incarnation,
@@ -276,6 +292,7 @@
             "rates": self.rates.run,
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
+            "evacuation": self.evacuation_gate.run,
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
             "peer connections": self.peers.run,
--- a/mangospoke/daemon/hosting.py
+++ b/mangospoke/daemon/hosting.py
@@ -51,6 +51,8 @@
         stop_s: Seconds from the stop signal to the exit of the process.
         retries: Limits retries at other upstreams.
         rates: Limits the excess over the rates of client accounts.
+        evacuation_s: Seconds after the order to evacuate a failure domain in which its
+            upstreams may still receive requests; enforced by `guard/evacuation.py`.
     """
 
     withdrawal_s: float
@@ -58,6 +60,7 @@
     stop_s: float
     retries: FleetRetryLimit
     rates: RateExcessLimits
+    evacuation_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -1,5 +1,6 @@
 """Builds the status that daemons report at their operations address."""
 
+import math
 from typing import Protocol
 
 import msgspec
@@ -8,7 +9,7 @@
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
 from mangospoke.http.server import ConnectionContext
-from mangospoke.ids import ServiceName
+from mangospoke.ids import FailureDomainId, ServiceName
 from mangospoke.logservice.calls import LogTransport
 from mangospoke.logservice.client import LogClient
 from mangospoke.logservice.era import LogEra
@@ -16,6 +17,7 @@
 from mangospoke.observability.overload import OverloadDetector
 from mangospoke.observability.status import (
     DaemonStatus,
+    EvacuationStatus,
     LogCallCount,
     LogHealth,
     OutcomeCount,
@@ -25,6 +27,8 @@
 from mangospoke.rates.borrowing import BorrowedRates
 from mangospoke.rates.service import Rates
 from mangospoke.rates.status import read_shares
+from mangospoke.state.evacuated_services import EvacuatedServices
+from mangospoke.state.evacuations import Evacuations
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.registrar import HostRegistrar
@@ -60,6 +64,7 @@
     registrar: HostRegistrar
     rates: BorrowedRates
     freshness: Freshness
+    evacuated_services: EvacuatedServices
 
 
 def read_status(daemon: _StandaloneDaemon) -> DaemonStatus:
@@ -81,9 +86,21 @@
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
         host_rewrites=daemon.registrar.rewrite_count,
+        evacuations=_read_evacuations(daemon.fleet.evacuations),
+        evacuated_services=tuple(daemon.evacuated_services.services),
     )
 
 
+def _read_evacuations(evacuations: Evacuations) -> tuple[EvacuationStatus, ...]:
+    def read(domain: FailureDomainId) -> EvacuationStatus:
+        age_s = evacuations.age_s(domain)
+        return EvacuationStatus(
+            domain, evacuations.share(domain), age_s if math.isfinite(age_s) else None
+        )
+
+    return tuple(map(read, [*evacuations.domains(), *evacuations.returning()]))
+
+
 def _build_common_status(daemon: _AnyDaemon, log: LogHealth) -> DaemonStatus:
     return DaemonStatus(
         host_id=daemon.identity.host_id,
--- a/mangospoke/forensics/causes.py
+++ b/mangospoke/forensics/causes.py
@@ -32,6 +32,7 @@
         "the daemon on the upstream's host accepted no connection"
     ),
     RefusalReason.DRAINING: "the upstream or its host was shutting down",
+    RefusalReason.EVACUATED: "the upstream's failure domain was evacuated",
     RefusalReason.QUARANTINED: "upstreams crashed while running the same request",
     RefusalReason.IDEMPOTENCY_KEY_REUSED: (
         "its idempotency key was used for another request"
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -15,6 +15,7 @@
     ResponseMetadata,
     UpstreamDialect,
 )
+from mangospoke.guard.evacuation import REFUSED as EVACUATED
 from mangospoke.guard.executions import ExecutionRegistry
 from mangospoke.guard.fair_queue import Slot
 from mangospoke.guard.hints import POLL_INTERVAL_S, poll_hints
@@ -54,6 +55,8 @@
             for a short notice period, then refused.
         leaving_listeners: Called when the upstream says in a response that it leaves.
         read_downstream_delay_s: Reads the highest queue delay of downstream services.
+        is_evacuated: Whether nothing may reach the upstream, as its failure domain is
+            evacuated.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self.statements.on_leaving = self._handle_leaving
         self.quarantine: QuarantineController | None = None
         self.read_downstream_delay_s: Callable[[], float] = _zero_delay
+        self.is_evacuated: Callable[[], bool] = _not_evacuated
         self._refuse_from = math.inf
         self._fleet = fleet
         self._limits = limits
@@ -216,6 +220,10 @@
             self.draining = True
             self._refuse_from = trio.current_time() + self._drain_notice_s
 
+    def refuse_queued(self, refused: Refused) -> int:
+        """Refuses all calls that wait for the upstream; returns their number."""
+        return self.admission.refuse_queued(lambda call: True, refused)
+
     def detach(self) -> None:
         """Drops the state of an upstream that left."""
         self.announcement = None
@@ -314,6 +322,8 @@
             return Refused(RefusalReason.UPSTREAM_UNREACHABLE, detail)
         if trio.current_time() >= self._refuse_from:
             return Refused(RefusalReason.DRAINING, "the upstream is draining")
+        if self.is_evacuated():
+            return EVACUATED
         return None
 
     async def _run_admitted(self, call: Call) -> Outcome:
@@ -352,6 +362,10 @@
         )
 
 
+def _not_evacuated() -> bool:
+    return False
+
+
 def _zero_delay() -> float:
     return 0.0
 
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -279,6 +279,7 @@
         [({}, status.proof_age_s)],
     )
     _add_eras(registry, status)
+    _add_evacuations(registry, status)
     _add_counter(
         registry,
         "mangospoke_log_calls_total",
@@ -302,6 +303,24 @@
     )
 
 
+def _add_evacuations(registry: Registry, status: DaemonStatus) -> None:
+    _add_gauge(
+        registry,
+        "mangospoke_failure_domain_share",
+        "Part of its usual requests that an evacuated or returning domain may get.",
+        [
+            ({"failure_domain": each.failure_domain}, each.share)
+            for each in status.evacuations
+        ],
+    )
+    _add_gauge(
+        registry,
+        "mangospoke_service_evacuated",
+        "1 for each service whose upstreams are all in evacuated failure domains.",
+        [({"service": service}, 1) for service in status.evacuated_services],
+    )
+
+
 def _add_eras(registry: Registry, status: DaemonStatus) -> None:
     _add_counter(
         registry,
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -160,6 +160,20 @@
     shed: int
 
 
+class EvacuationStatus(Struct, frozen=True):
+    """A failure domain that is evacuated, or returns from an evacuation.
+
+    Attributes:
+        share: Part of its usual requests that it may get, from 0 (evacuated) to 1.
+        age_s: Seconds since this host learned of the evacuation; None if it found it
+            at its start, or if it was taken back.
+    """
+
+    failure_domain: FailureDomainId
+    share: float
+    age_s: float | None
+
+
 class DaemonStatus(Struct, frozen=True, kw_only=True):
     """Status of a daemon.
 
@@ -181,6 +195,8 @@
         log_calls: Calls to the log service since the daemon started.
         proof_age_s: Seconds since the active configuration was last confirmed as the
             newest; None where that isn't tracked.
+        evacuations: Failure domains that don't get their whole share of requests.
+        evacuated_services: Services whose upstreams are all in evacuated domains.
     """
 
     host_id: HostId
@@ -203,3 +219,5 @@
     tokens: tuple[TokenStatus, ...] = ()
     log_calls: tuple[LogCallCount, ...] = ()
     proof_age_s: float | None = None
+    evacuations: tuple[EvacuationStatus, ...] = ()
+    evacuated_services: tuple[ServiceName, ...] = ()
--- a/mangospoke/platform/program.py
+++ b/mangospoke/platform/program.py
@@ -26,7 +26,10 @@
         log=log,
         log_calls=log.transport,
         topics=KeyedTopics(
-            store.CONFIGURATION_TOPIC, store.CONFIGURATION_KEY, store.HOSTS_TOPIC
+            store.CONFIGURATION_TOPIC,
+            store.CONFIGURATION_KEY,
+            store.HOSTS_TOPIC,
+            store.EVACUATION_PREFIX,
         ),
         read_configuration=read_configuration,
         caller_dialect=CALLER_DIALECT,
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -150,4 +150,5 @@
             max_excess_ratio=bounds.number("quotaOverage", 0.0),
             max_excess_requests=bounds.number("quotaSlack", 0.0),
         ),
+        evacuation_s=bounds.duration_s("evac", 5.0),
     )
--- a/mangospoke/platform/store.py
+++ b/mangospoke/platform/store.py
@@ -30,6 +30,9 @@
 
 CONFIGURATION_KEY = "config"
 
+EVACUATION_PREFIX = "evacuate/"
+"""How a key of that topic begins that empties a failure domain; its name follows."""
+
 HOSTS_TOPIC = "keyed.hosts"
 """Holds a record for each host, with the host's id as its key."""
 
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -66,11 +66,21 @@
 
 @dataclass(frozen=True, slots=True)
 class _Candidates:
-    """A service's serving upstreams, by whether they are in this failure domain."""
+    """A service's serving upstreams, by whether they are in this failure domain.
+
+    Those of evacuated domains aren't among them.
+    """
 
     own_domain: Sequence[UpstreamAnnounced]
     other_domains: Sequence[UpstreamAnnounced]
 
+    def without(self, domains: Collection[FailureDomainId]) -> "_Candidates":
+        """Returns those that aren't in any of some failure domains."""
+        return _Candidates(
+            [u for u in self.own_domain if u.failure_domain not in domains],
+            [u for u in self.other_domains if u.failure_domain not in domains],
+        )
+
 
 class Balancer:
     """Chooses upstreams by the load that they report with their responses.
@@ -109,6 +119,7 @@
         self._one_way_delay_by_address: dict[str, float] = {}
         self._candidates_by_service: dict[ServiceName, _Candidates] = {}
         fleet.membership_listeners.append(self._on_membership_change)
+        fleet.evacuations.listeners.append(self._candidates_by_service.clear)
 
     def _on_membership_change(self) -> None:
         self._candidates_by_service.clear()
@@ -190,6 +201,16 @@
             The choice, or None if no usable upstream is left.
         """
         candidates = self._candidates(service)
+        skipped = self._fleet.evacuations.draw_skipped(self._random)
+        if skipped:
+            choice = self._choose_among(candidates.without(skipped), excluded)
+            if choice is not None:
+                return choice
+        return self._choose_among(candidates, excluded)
+
+    def _choose_among(
+        self, candidates: _Candidates, excluded: Collection[HostId]
+    ) -> UpstreamChoice | None:
         own_host = self._choose_own_host(candidates, excluded)
         if own_host is not None:
             return own_host
@@ -226,6 +247,7 @@
                     service, {}
                 ).values()
                 if upstream.state is UpstreamState.SERVING
+                and not self._fleet.evacuations.is_evacuated(upstream.failure_domain)
             ]
             candidates = _Candidates(
                 own_domain=[u for u in serving if u.failure_domain == self._domain],
--- a/mangospoke/state/configuration_source.py
+++ b/mangospoke/state/configuration_source.py
@@ -1,5 +1,7 @@
 """Obtains a hosted daemon's configuration from the log service or from peers.
 
+What is evacuated by the operator's order passes between hosts by the same messages.
+
 A host that gets no answer from the log service asks peers; a peer's confirmation is
 dated back by the age that the peer reports. So a host stops accepting keys only if no
 peer that it can reach has heard from the log service recently.
@@ -185,9 +187,11 @@
         return self.answer(question)
 
     def question(self) -> GetConfiguration:
-        """Returns the question for a later configuration than the active one."""
+        """Returns the question for a later state than the known one."""
         version = self._fleet.configuration.version
-        return GetConfiguration(version, self._active_digest)
+        return GetConfiguration(
+            version, self._active_digest, self._fleet.evacuations.known
+        )
 
     def answer(self, question: GetConfiguration) -> GetConfigurationResponse:
         """Returns the answer to another host's question."""
@@ -204,6 +208,7 @@
             age_ms=-1.0 if math.isinf(age_s) else age_s * 1000,
             content=self._active_content if is_news else None,
             digest=self._active_digest,
+            evacuations=self._fleet.evacuations.news_for(question.evacuations),
         )
 
     def apply_answer(self, reply: GetConfigurationResponse, since: float) -> None:
@@ -214,6 +219,8 @@
             since: Time before the peer computed the age that it tells, in boot clock
                 seconds. An early one makes the configuration look less fresh.
         """
+        if reply.evacuations is not None:
+            self._fleet.evacuations.handle_state_of_peer(reply.evacuations)
         confirmed_at = -math.inf
         if reply.age_ms >= 0:
             confirmed_at = since - reply.age_ms / 1000
--- a/mangospoke/state/fleet.py
+++ b/mangospoke/state/fleet.py
@@ -16,6 +16,7 @@
     UpstreamAnnounced,
 )
 from mangospoke.state.configuration import ConfigurationState
+from mangospoke.state.evacuations import Evacuations
 from mangospoke.state.membership import MembershipState
 from mangospoke.state.provisional import ProvisionalMembership
 from mangospoke.state.streams import StateMachine, StreamReplica
@@ -39,6 +40,7 @@
             stream doesn't contain yet.
         configuration_listeners: Called after another configuration became active.
         membership_listeners: Called after the known upstreams changed.
+        evacuations: The failure domains whose upstreams get no requests.
     """
 
     def __init__(self, site: SiteId) -> None:
@@ -55,6 +57,7 @@
         self.streams: dict[LogStream, StreamReplica] = {}
         self.configuration_listeners: list[Callable[[], None]] = []
         self.membership_listeners: list[Callable[[], None]] = []
+        self.evacuations = Evacuations()
         self._site = site
         self._changed = trio.Event()
         self.rejected_version = 0
--- a/mangospoke/state/keyed_following.py
+++ b/mangospoke/state/keyed_following.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mangospoke.conf.settings import Settings
 from mangospoke.control.interface import ControlChannel
@@ -39,11 +39,14 @@
         configuration: Topic that holds the configuration.
         configuration_key: Key of the configuration in that topic.
         hosts: Topic that holds the hosts' records.
+        evacuation_prefix: How the keys of orders to evacuate a failure domain begin, in
+            the configuration's topic; its id follows. Empty if there are none.
     """
 
     configuration: str
     configuration_key: str
     hosts: str
+    evacuation_prefix: str = ""
 
 
 class KeyedFollowing:
@@ -88,6 +91,8 @@
         self.check_written: Callable[[Sequence[KeyedRecord], float, int | None], None]
         self.check_written = lambda newest, sent_at, era: None
         self._directory = directory
+        self._evacuations = fleet.evacuations
+        self._evacuation_prefix = topics.evacuation_prefix
         self.configuration = ConfigurationSource(
             settings.host.id,
             fleet,
@@ -100,12 +105,12 @@
         self.configuration_follower = KeyedFollower(
             log,
             topics.configuration,
-            self.configuration.handle_records,
+            self._handle_operator_records,
             _CONFIGURATION_POLL_WAIT_MS,
             read_clock,
             self.configuration.confirm,
         )
-        self.configuration_follower.handle_newest = self.configuration.handle_newest
+        self.configuration_follower.handle_newest = self._handle_newest_of_operator
         self.hosts_follower = KeyedFollower(
             log, topics.hosts, self._handle_host_records, _HOSTS_POLL_WAIT_MS
         )
@@ -132,6 +137,31 @@
         for follower in (self.configuration_follower, self.hosts_follower):
             follower.retry_delay_s = self.peers.log_retry_delay_s
 
+    def _handle_newest_of_operator(self, records: Sequence[KeyedRecord]) -> None:
+        follower = self.configuration_follower
+        self._evacuations.handle_newest(
+            self._evacuation_orders(records), follower.era, follower.next_offset or 0
+        )
+        self.configuration.handle_newest(records)
+
+    def _handle_operator_records(self, records: Sequence[KeyedRecord]) -> None:
+        follower = self.configuration_follower
+        self._evacuations.handle_orders(
+            self._evacuation_orders(records), follower.era, follower.next_offset or 0
+        )
+        self.configuration.handle_records(records)
+
+    def _evacuation_orders(self, records: Sequence[KeyedRecord]) -> list[KeyedRecord]:
+        """Returns the orders among records, with the failure domain as their key."""
+        prefix = self._evacuation_prefix
+        if not prefix:
+            return []
+        return [
+            replace(record, key=record.key.removeprefix(prefix))
+            for record in records
+            if record.key.startswith(prefix)
+        ]
+
     def _handle_host_records(self, records: Sequence[KeyedRecord]) -> None:
         follower = self.hosts_follower
         self._directory.handle_records(records, follower.era, follower.next_offset or 0)
--- a/mangospoke/state/peer_following.py
+++ b/mangospoke/state/peer_following.py
@@ -113,7 +113,7 @@
         """Initializes the follower and registers its control message handler.
 
         Args:
-            fleet: The fleet state, which tells of new configurations.
+            fleet: The fleet state, which tells of new configurations and evacuations.
             topology: Whom to follow.
             control: Control channel to the peers.
             configuration: The configuration and what peers say of it.
@@ -135,6 +135,7 @@
         self._changed = trio.Event()
         control.handlers_by_type[FollowState] = self._handle_question
         fleet.configuration_listeners.append(self._wake_waiters)
+        fleet.evacuations.listeners.append(self._wake_waiters)
         directory.listeners.append(self._wake_waiters)
         freshness.listeners.append(self._wake_waiters)
 
@@ -283,7 +284,8 @@
         is_same_era = question.era == self._directory.era
         if is_same_era and question.next_offset < self._directory.next_offset:
             return True
-        if self._configuration.answer(question.configuration).content is not None:
+        answer = self._configuration.answer(question.configuration)
+        if answer.content is not None or answer.evacuations is not None:
             return True
         return self._freshness.confirmed_at > proof_at + _MIN_PROOF_STEP_S
 
--- a/mangospoke/verdicts.py
+++ b/mangospoke/verdicts.py
@@ -47,6 +47,7 @@
     CONFIGURATION_STALE = "configuration-stale"
     PEER_UNREACHABLE = "peer-unreachable"
     DRAINING = "draining"
+    EVACUATED = "evacuated"
     QUARANTINED = "quarantined"
     IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
     IDEMPOTENCY_STORE_FULL = "idempotency-store-full"
@@ -132,6 +133,7 @@
     RefusalReason.CONFIGURATION_STALE: RefusalRule(503, retry_after_s=1),
     RefusalReason.PEER_UNREACHABLE: RefusalRule(502, retry_after_s=1, retryable=True),
     RefusalReason.DRAINING: RefusalRule(503, retry_after_s=1, retryable=True),
+    RefusalReason.EVACUATED: RefusalRule(503, retry_after_s=1, retryable=True),
     RefusalReason.QUARANTINED: RefusalRule(422),
     RefusalReason.IDEMPOTENCY_KEY_REUSED: RefusalRule(409),
     RefusalReason.IDEMPOTENCY_STORE_FULL: RefusalRule(503, retry_after_s=5),
--- a/tests/observability/test_monitoring.py
+++ b/tests/observability/test_monitoring.py
@@ -10,6 +10,7 @@
 from mangospoke.ids import HostId, ServiceName
 from mangospoke.observability.metrics import render_metrics
 from mangospoke.observability.status import (
+    EvacuationStatus,
     LogCallCount,
     OutcomeCount,
     TokenStatus,
@@ -28,6 +29,8 @@
         proof_age_s=0.1,
         tokens=(TokenStatus("acme", 1.0, 1.0),),
         log_calls=(LogCallCount("/log-read", "200", 1),),
+        evacuations=(EvacuationStatus("a", 0.0, 1.0),),
+        evacuated_services=(ServiceName("s"),),
     )
     metrics = MetricsServer(status)
     metrics.dropped_lines["ended/answered"] = 1
--- a/tests/routing/test_balancer.py
+++ b/tests/routing/test_balancer.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 
+from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.logservice.records import (
     UpstreamAnnounced,
     UpstreamLeft,
@@ -118,3 +119,45 @@
     tried = {"a1", "a2", "a3", "b1"}
     assert balancer.choose("batches", tried).upstream.host_id == "b2"
     assert balancer.choose("batches", tried | {"b2"}) is None
+
+
+def order_evacuation(fleet, offset, **values_by_domain):
+    """Gives the order to evacuate a domain, or takes it back with an empty value."""
+    if fleet.evacuations.known[1] < 0:
+        fleet.evacuations.handle_newest([], 1, 0)
+    orders = [KeyedRecord(d, value, offset) for d, value in values_by_domain.items()]
+    fleet.evacuations.handle_orders(orders, 1, offset + 1)
+
+
+async def test_an_evacuated_domain_gets_nothing_from_its_own_hosts_neither(
+    autojump_clock,
+):
+    fleet, balancer = make_balancer(own_host="a1")
+    assert set(count_choices(balancer)) == {"a1"}
+    order_evacuation(fleet, 0, a=b"{}")
+    assert set(count_choices(balancer)) == {"b1", "b2"}
+    loads = {"a1": IDLE, "b1": FULL, "b2": FULL}
+    assert set(count_choices(balancer, loads=loads)) <= {"b1", "b2"}
+    order_evacuation(fleet, 1, b=b"{}")
+    assert balancer.choose("batches", ()) is None
+    assert not balancer.has_choice("batches", ())
+
+
+async def test_a_domain_that_is_taken_back_is_not_flooded(autojump_clock):
+    fleet, balancer = make_balancer(own_host="a1")
+    order_evacuation(fleet, 0, a=b"{}")
+    autojump_clock.jump(30)
+    order_evacuation(fleet, 1, a=b"")
+    parts = []
+    for _ in range(3):
+        chosen = count_choices(balancer, 1_000)
+        parts.append(chosen["a1"] / 1_000)
+        autojump_clock.jump(5)
+    assert parts[0] < 0.2 < parts[1] < 0.9 < parts[2]
+
+
+async def test_a_returning_domain_takes_what_no_other_can(autojump_clock):
+    fleet, balancer = make_balancer(hosts={"a1": "a", "a2": "a"})
+    order_evacuation(fleet, 0, a=b"{}")
+    order_evacuation(fleet, 1, a=b"")
+    assert set(count_choices(balancer)) == {"a1", "a2"}
--- a/tests/state/following_fleet.py
+++ b/tests/state/following_fleet.py
@@ -124,7 +124,7 @@
         following = KeyedFollowing(
             _settings(host_id),
             self.client,
-            KeyedTopics("op", "config", "hosts"),
+            KeyedTopics("op", "config", "hosts", "evacuate/"),
             _decode,
             self.fleet,
             self.directory,
