--- a/mangospoke/daemon/hosting.py
+++ b/mangospoke/daemon/hosting.py
@@ -53,6 +53,8 @@
         retries: Limits retries at other upstreams.
         rates: Limits the excess over the rates of client accounts.
         cold: Limits the excess over the rates of cold upstreams.
+        evacuation_s: Seconds after the order to evacuate a failure domain in which its
+            upstreams may still receive requests; enforced by `guard/evacuation.py`.
     """
 
     withdrawal_s: float
@@ -60,6 +62,7 @@
     stop_s: float
     retries: RetryLimit
     rates: RateExcessLimits
+    evacuation_s: float
     cold: ColdExcessLimits = ColdExcessLimits()
 
 
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -10,7 +10,7 @@
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
 from mangospoke.http.server import ConnectionContext
-from mangospoke.ids import ServiceName
+from mangospoke.ids import FailureDomainId, ServiceName
 from mangospoke.logservice.calls import LogTransport
 from mangospoke.logservice.client import LogClient
 from mangospoke.logservice.era import LogEra
@@ -18,6 +18,7 @@
 from mangospoke.observability.overload import OverloadDetector
 from mangospoke.observability.status import (
     DaemonStatus,
+    EvacuationStatus,
     LogCallCount,
     LogHealth,
     OutcomeCount,
@@ -27,6 +28,8 @@
 from mangospoke.rates.borrowing import BorrowedRates
 from mangospoke.rates.service import Rates
 from mangospoke.rates.status import read_shares
+from mangospoke.state.evacuated_services import EvacuatedServices
+from mangospoke.state.evacuations import Evacuations
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.registrar import HostRegistrar
@@ -62,6 +65,7 @@
     registrar: HostRegistrar
     rates: BorrowedRates
     freshness: Freshness
+    evacuated_services: EvacuatedServices
 
 
 def read_status(daemon: _StandaloneDaemon) -> DaemonStatus:
@@ -83,9 +87,21 @@
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
         host_rewrites=daemon.registrar.rewrite_count,
+        evacuations=_read_evacuations(daemon.fleet.evacuations),
+        evacuated_services=tuple(daemon.evacuated_services.services),
     )
 
 
+def _read_evacuations(evacuations: Evacuations) -> tuple[EvacuationStatus, ...]:
+    def read(domain: FailureDomainId) -> EvacuationStatus:
+        age_s = evacuations.age_s(domain)
+        return EvacuationStatus(
+            domain, evacuations.share(domain), age_s if math.isfinite(age_s) else None
+        )
+
+    return tuple(map(read, [*evacuations.domains(), *evacuations.returning()]))
+
+
 def _build_common_status(daemon: _AnyDaemon, log: LogHealth) -> DaemonStatus:
     return DaemonStatus(
         host_id=daemon.identity.host_id,
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -16,6 +16,7 @@
     ResponseMetadata,
     UpstreamDialect,
 )
+from mangospoke.guard.evacuation import REFUSED as EVACUATED
 from mangospoke.guard.execution_results import ExecutionResult, judge_execution
 from mangospoke.guard.executions import Execution, ExecutionRegistry
 from mangospoke.guard.fair_queue import Slot
@@ -63,6 +64,8 @@
         read_downstream_delay_s: Reads the highest queue delay of downstream services.
         retry_gate: Bounds the repeated requests that reach the upstream; by default,
             only their senders do.
+        is_evacuated: Whether nothing may reach the upstream, as its failure domain is
+            evacuated.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         self.quarantine: QuarantineController | None = None
         self.read_downstream_delay_s: Callable[[], float] = _zero_delay
         self.retry_gate: RetryGate | None = None
+        self.is_evacuated: Callable[[], bool] = _not_evacuated
         self._refuse_from = math.inf
         self._fleet = fleet
         self._limits = limits
@@ -249,6 +253,10 @@
             self.draining = True
             self._refuse_from = trio.current_time() + self._drain_notice_s
 
+    def refuse_queued(self, refused: Refused) -> int:
+        """Refuses all calls that wait for the upstream; returns their number."""
+        return self.admission.refuse_queued(lambda call: True, refused)
+
     def detach(self) -> None:
         """Drops the state of an upstream that left."""
         self.announcement = None
@@ -372,6 +380,8 @@
             return Refused(RefusalReason.UPSTREAM_UNREACHABLE, detail)
         if trio.current_time() >= self._refuse_from:
             return Refused(RefusalReason.DRAINING, "the upstream is draining")
+        if self.is_evacuated():
+            return EVACUATED
         return None
 
     async def _run_admitted(self, call: Call) -> Outcome:
@@ -425,6 +435,10 @@
         )
 
 
+def _not_evacuated() -> bool:
+    return False
+
+
 def _zero_delay() -> float:
     return 0.0
 
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -156,4 +156,5 @@
             max_excess_ratio=max(0.0, bounds.number("coldOverage", 1.0) - 1),
             max_excess_requests=bounds.number("coldSlack", 0.0),
         ),
+        evacuation_s=bounds.duration_s("evac", 5.0),
     )
