--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -152,6 +152,8 @@
         return None
     load = guard.admission.load()
     rate_limit = guard.admission.rate_limit
+    performance = guard.performance
+    now = trio.current_time()
     return UpstreamStatus(
         service=announcement.service,
         address=announcement.address,
@@ -165,6 +167,10 @@
         limit_refused=rate_limit.refused_count,
         cold_left_s=_read_cold_left_s(guard),
         cold_turns=guard.cold_starts.turn_count,
+        work_ms_by_route=performance.work_ms_by_route(),
+        failure_ratio=round(performance.failure_ratio(now), 3),
+        slowness_ratio=performance.slowness_ratio(now),
+        retries_refused=guard.retry_gate.refused_count if guard.retry_gate else 0,
     )
 
 
--- a/mangospoke/guard/performance.py
+++ b/mangospoke/guard/performance.py
@@ -83,6 +83,13 @@
         is_recent = now - self._slowness_at <= SLOWNESS_LIFETIME_S
         return self._slowness_ratio if is_recent else 1.0
 
+    def work_ms_by_route(self) -> dict[RouteName, float]:
+        """Returns the usual work of each route's calls, in milliseconds."""
+        return {
+            route: round(work_s * 1000, 1)
+            for route, work_s in self._work_s_by_route.items()
+        }
+
     def work_s(self, route: RouteName) -> float:
         """Returns the usual work of a call of a route in seconds; 0 if unknown."""
         return self._work_s_by_route.get(route, 0.0)
--- a/mangospoke/guard/retry_arrivals.py
+++ b/mangospoke/guard/retry_arrivals.py
@@ -41,11 +41,7 @@
 
 
 class RetryArrivals:
-    """The part of one upstream in its service's limit.
-
-    Attributes:
-        refused_count: Retries refused since the daemon's start.
-    """
+    """The part of one upstream in its service's limit."""
 
     def __init__(self, limit: RetryLimit) -> None:
         """Initializes the part, full.
@@ -53,7 +49,6 @@
         Args:
             limit: The limit of the service.
         """
-        self.refused_count = 0
         self._limit = limit
         self._spent = 0.0
         self._updated_at = -math.inf
@@ -88,7 +83,6 @@
     def take(self, upstream_count: int, calls_others: bool, now: float) -> bool:
         """Takes one retry out of the part; returns False if there is none left."""
         if not self.may_take(upstream_count, calls_others, now):
-            self.refused_count += 1
             return False
         self._spent += 1
         return True
--- a/mangospoke/guard/retry_gate.py
+++ b/mangospoke/guard/retry_gate.py
@@ -35,9 +35,15 @@
         self._count_upstreams = count_upstreams
         self._calls_others = calls_others
         self._callees_refuse = callees_refuse
+        self._refused_count = 0
         self._is_open = True
         self._refreshed_at = -math.inf
 
+    @property
+    def refused_count(self) -> int:
+        """Retries refused since the daemon's start."""
+        return self._refused_count
+
     def is_open(self) -> bool:
         """Returns whether a retry would be let through now, or a moment ago."""
         now = trio.current_time()
@@ -52,7 +58,9 @@
     def check(self, call: Call) -> Refused | None:
         """Counts a call; returns why it is refused, or None."""
         if call.repetition is Repetition.RETRY:
-            return self._check_retry()
+            refused = self._check_retry()
+            self._refused_count += refused is not None
+            return refused
         if call.repetition is Repetition.INHERITED:
             self._arrivals.record_inherited()
         elif not call.is_sub_call:
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -85,6 +85,7 @@
         return
     _add_rate_limit(registry, status.upstream)
     _add_cold_start(registry, status.upstream)
+    _add_performance(registry, status.upstream)
     values_by_name = {
         "limit": status.upstream.limit,
         "in_flight": status.upstream.in_flight,
@@ -119,6 +120,28 @@
     )
 
 
+def _add_performance(registry: Registry, upstream: UpstreamStatus) -> None:
+    labels = {"service": upstream.service}
+    _add_gauge(
+        registry,
+        "mangospoke_upstream_failure_ratio",
+        "Part of its recent calls that the upstream on this host failed by itself.",
+        [(labels, upstream.failure_ratio)],
+    )
+    _add_gauge(
+        registry,
+        "mangospoke_upstream_slowness_ratio",
+        "How many times longer than usual work takes on the upstream's machine now.",
+        [(labels, upstream.slowness_ratio)],
+    )
+    _add_counter(
+        registry,
+        "mangospoke_upstream_retries_refused_total",
+        "Repeated requests refused because the service has got as many as it may.",
+        [(labels, upstream.retries_refused)],
+    )
+
+
 def _add_cold_start(registry: Registry, upstream: UpstreamStatus) -> None:
     service = upstream.service
     _add_gauge(
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -7,6 +7,7 @@
     FailureDomainId,
     HostId,
     Incarnation,
+    RouteName,
     ServiceName,
     SiteId,
 )
@@ -33,6 +34,11 @@
         limit_refused: Requests refused because of it.
         cold_left_s: Seconds for which it counts as cold; None while that is open.
         cold_turns: Times that it turned cold since the daemon's start.
+        work_ms_by_route: Usual milliseconds of work of a call, without its sub-calls.
+        failure_ratio: Part of its recent calls that it failed.
+        slowness_ratio: How many times longer than usual work takes on its machine now.
+        retries_refused: Repeated requests refused since the daemon's start, because it
+            has got its part of the service's.
     """
 
     service: ServiceName
@@ -47,6 +53,10 @@
     limit_refused: int = 0
     cold_left_s: float | None = 0.0
     cold_turns: int = 0
+    work_ms_by_route: dict[RouteName, float] = {}
+    failure_ratio: float = 0.0
+    slowness_ratio: float = 1.0
+    retries_refused: int = 0
 
 
 class LogHealth(Struct, frozen=True):
