A fast log service isn't refused: only bytes before a request precede it

Change: input before the write and after it are told apart; calls to the log service end only for the former. What decides on upstreams' refusals without an id stays as it was.

--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -65,9 +65,11 @@
     """A connection to an upstream that carries one request at a time.
 
     Attributes:
+        had_input_before: Whether bytes had arrived before the last request was written,
+            on a connection that had been used before. They belong to no request.
         had_early_input: Whether bytes had arrived by the time at which the head of the
             last request was written, on a connection that had been used before. They
-            may be a late part of an earlier exchange.
+            may be a late part of an earlier exchange, or the response of a fast server.
     """
 
     def __init__(self, stream: Stream, max_head_bytes: int) -> None:
@@ -79,6 +81,7 @@
         self._received_eof = False
         self._is_start_checked = False
         self._is_used = False
+        self.had_input_before = False
         self.had_early_input = False
 
     async def exchange(
@@ -226,6 +229,7 @@
 
     async def _send_start(self, content: bytes) -> None:
         """Sends the first bytes of a request, and checks for input that precedes it."""
+        self.had_input_before = self._is_used and self._stream.has_input()
         is_sent = self._stream.try_send(content)
         self.had_early_input = self._is_used and self._stream.has_input()
         self._is_used = True
--- a/mangospoke/logservice/calls.py
+++ b/mangospoke/logservice/calls.py
@@ -139,7 +139,7 @@
             response = await connection.exchange(
                 method, target, headers, buffered_body(content), _MAX_RESPONSE_BYTES
             )
-            if connection.had_early_input:
+            if connection.had_input_before:
                 raise ResponseMalformedError("the response preceded its request")
             is_reusable = response.body.content is not None and connection.is_reusable()
         finally:
