A failure domain that falls silent is found out once, for all its hosts

Cause: a domain that is cut off without a reset was found out at the deadlines of three requests for each pair of hosts; meanwhile requests went on across the cut, and running requests lost their calls.

Change (hosted daemons): anything heard from any host of a domain proves it alive. If something was sent and nothing was heard for 0.35 s, one host is probed, then six; if none answers, the domain is silent, and neighbours are told, who believe it unless they have heard from it since. Nothing is placed there, idle connections are closed, calls that weren't sent go elsewhere, and idempotent ones that may have run are tried again if the route's allowance and the shared budget have a retry left. Three hosts of a domain probe for the return, the others rarely.

Balancer: one condition in _is_usable. Ejections that the cut caused are forgotten.

--- a/mangospoke/calls.py
+++ b/mangospoke/calls.py
@@ -81,6 +81,7 @@
         send_status: Whether a byte of the request head may have reached an upstream
             in the current attempt.
         earlier: Outcome of the last previous attempt that may have run, if any.
+        has_paid_retry: Whether its next retry is already taken out of its budgets.
         key_use: How the idempotency key must be treated.
         last_sent_to: Host id and incarnation of the daemon that it was last sent to.
         version: Version of the configuration that authenticated it.
@@ -116,6 +117,7 @@
     retries: RetryAllowance
     send_status: SendStatus = field(default=SendStatus.UNSENT)
     earlier: Unanswered | None = None
+    has_paid_retry: bool = False
     key_use: KeyUse = field(default=KeyUse.NONE)
     last_sent_to: tuple[HostId, Incarnation] | None = field(default=None)
     version: int = 0
--- a/mangospoke/control/messages.py
+++ b/mangospoke/control/messages.py
@@ -4,6 +4,7 @@
 
 from mangospoke.ids import (
     ClientAccountId,
+    FailureDomainId,
     HostId,
     IdempotencyKey,
     Incarnation,
@@ -385,3 +386,16 @@
 
     service: ServiceName
     records: tuple[SuspectRecord, ...]
+
+
+class ReportReachability(Message, frozen=True, tag="report-reachability"):
+    """Tells a host of the own failure domain that another domain is silent or back.
+
+    Attributes:
+        domain: The other failure domain.
+        silent_ms: Milliseconds since the check that nothing answered began.
+    """
+
+    domain: FailureDomainId
+    is_silent: bool
+    silent_ms: float
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -42,6 +42,8 @@
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
+from mangospoke.routing.reachability import DomainReachability, ReachabilityChange
+from mangospoke.routing.reachability_watch import ReachabilityWatch
 from mangospoke.routing.retries import FleetRetryBudget
 from mangospoke.shutdown import Shutdown
 from mangospoke.state.fleet import Fleet
@@ -106,6 +108,9 @@
         )
         self.registrar.written_listeners.append(self.directory.handle_written)
         self.ejector = Ejector()
+        self.reachability = DomainReachability(
+            settings.host.id, domain, random.Random()
+        )
         balancer = Balancer(
             self.fleet,
             settings.host.id,
@@ -113,6 +118,7 @@
             self.ejector,
             self.guard.load,
             random.Random(),
+            self.reachability.is_silent,
         )
         self.identity = Identity(
             settings.host.id, domain, incarnation, settings.fleet.secret
@@ -126,6 +132,14 @@
             balancer.notices.read,
         )
         self.control = PeerControlChannel(self.peers)
+        self.reachability_watch = ReachabilityWatch(
+            settings.host.id,
+            domain,
+            incarnation,
+            self.fleet,
+            self.control,
+            self.reachability,
+        )
         self.quarantine = QuarantineController(
             settings.host.id,
             domain,
@@ -152,7 +166,9 @@
             ),
             _MAX_REROUTES,
             shutdown,
+            peers_retry=False,
         )
+        self._follow_reachability(dispatcher)
         self.homes = self._make_homes()
         self.rates = BorrowedRates(
             settings.host.id,
@@ -221,6 +237,26 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
+    def _follow_reachability(self, dispatcher: Dispatcher) -> None:
+        """Connects what learns of silent failure domains with what acts on them."""
+        reachability, peers = self.reachability, self.peers
+        peers.record_sent = lambda address: reachability.record_sent(
+            address, trio.current_time()
+        )
+        peers.record_heard = lambda address: reachability.record_heard(
+            address, trio.current_time()
+        )
+
+        def act(change: ReachabilityChange) -> None:
+            host_ids = [host.host_id for host in change.hosts]
+            if change.is_silent:
+                peers.close_idle([host.peer_address for host in change.hosts])
+                dispatcher.abandon_calls(host_ids)
+            else:
+                self.ejector.forget_hosts(host_ids)
+
+        reachability.listeners.append(act)
+
     def _count_hosts(self) -> int:
         return len(self.directory)
 
@@ -269,6 +305,7 @@
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
             "peer connections": self.peers.run,
+            "reachability": self.reachability_watch.run,
             "prober": lambda: probe_ejected_hosts(self.ejector, self.is_alive),
             "overload": self.overload.run,
             "loop lag": self.lag.run,
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -25,6 +25,8 @@
 from mangospoke.rates.borrowing import BorrowedRates
 from mangospoke.rates.service import Rates
 from mangospoke.rates.status import read_shares
+from mangospoke.routing.reachability import DomainReachability
+from mangospoke.routing.reachability_watch import ReachabilityWatch
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.registrar import HostRegistrar
@@ -60,6 +62,8 @@
     registrar: HostRegistrar
     rates: BorrowedRates
     freshness: Freshness
+    reachability: DomainReachability
+    reachability_watch: ReachabilityWatch
 
 
 def read_status(daemon: _StandaloneDaemon) -> DaemonStatus:
@@ -81,6 +85,8 @@
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
         host_rewrites=daemon.registrar.rewrite_count,
+        silent_domains=tuple(daemon.reachability.silent_domains()),
+        reachability_changes=daemon.reachability_watch.changes,
     )
 
 
--- a/mangospoke/ingress/dispatch.py
+++ b/mangospoke/ingress/dispatch.py
@@ -1,6 +1,6 @@
 """Dispatch of calls to upstreams, with retries."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import trio
 
@@ -18,6 +18,7 @@
 from mangospoke.verdicts import (
     RULES_BY_REFUSAL,
     Answered,
+    FailureReason,
     Outcome,
     RefusalReason,
     Refused,
@@ -37,6 +38,31 @@
 """Refusals by the upstream itself, as opposed to the guard in front of it."""
 
 
+_ABANDONED = Unanswered(FailureReason.PEER_SILENT, "nothing reaches its failure domain")
+_ABANDONED_UNSENT = Refused(
+    RefusalReason.PEER_UNREACHABLE, "nothing reaches its failure domain"
+)
+
+
+class _CallInFlight:
+    """A call that another daemon was sent and hasn't answered.
+
+    Attributes:
+        granted_retries: Retries that the other daemon may spend.
+        returned_retries: Those of them that were taken back as it was given up.
+        scope: Cancelled to give it up.
+    """
+
+    __slots__ = ("call", "granted_retries", "host_id", "returned_retries", "scope")
+
+    def __init__(self, call: Call, host_id: HostId, granted_retries: int) -> None:
+        self.call = call
+        self.host_id = host_id
+        self.granted_retries = granted_retries
+        self.returned_retries = 0
+        self.scope = trio.CancelScope()
+
+
 class Dispatcher:
     """Sends calls to upstreams on this and other hosts, and retries failed ones.
 
@@ -56,6 +82,8 @@
         retry_budget: RetryBudget | None = None,
         max_reroutes: int = 0,
         shutdown: Shutdown | None = None,
+        *,
+        peers_retry: bool = True,
     ) -> None:
         """Initializes the dispatcher.
 
@@ -73,7 +101,10 @@
                 upstream.
             shutdown: The shutdown that interrupts calls at its end; by default, none
                 does.
+            peers_retry: Whether other daemons may spend the retries granted to them.
         """
+        self._peers_retry = peers_retry
+        self._calls_in_flight: set[_CallInFlight] = set()
         self._host_id = host_id
         self._execute_locally = execute_locally
         self._peers = peers
@@ -130,7 +161,9 @@
                     RefusalReason.NO_UPSTREAM, "no upstream serves it"
                 )
             if outcome is not None:
-                if reroutes_left and _may_reroute(call, outcome):
+                if call.has_paid_retry:
+                    call.has_paid_retry = False
+                elif reroutes_left and _may_reroute(call, outcome):
                     reroutes_left -= 1
                 elif not self._may_retry(call, outcome):
                     return outcome
@@ -161,6 +194,10 @@
             _record_attempt(call, choice, sent_at, "cancelled")
             raise
         _record_attempt(call, choice, sent_at, reason_label(outcome))
+        if outcome is _ABANDONED or outcome is _ABANDONED_UNSENT:
+            # It says nothing about this upstream: the way to its domain is cut.
+            self._ejector.record_cancellation(upstream)
+            return outcome
         upstream_count = self._balancer.count_upstreams(call.service)
         if self._ejector.record_outcome(upstream, outcome, upstream_count):
             self._decisions.record_ejection(call.service, upstream.host_id, outcome)
@@ -172,7 +209,59 @@
             return await self._execute_locally(call)
         # Half of the retries left stay here, for further sub-calls of the execution.
         retries = call.retries.take((call.retries.remaining + 1) // 2)
-        return await self._peers.execute(upstream.peer_address, call, retries)
+        in_flight = _CallInFlight(call, upstream.host_id, retries)
+        self._calls_in_flight.add(in_flight)
+        try:
+            with in_flight.scope:
+                outcome = await self._peers.execute(
+                    upstream.peer_address, call, retries
+                )
+                if in_flight.scope.cancel_called:
+                    # Its response came at the same moment, with these retries.
+                    call.retries.take(in_flight.returned_retries)
+                return outcome
+        finally:
+            self._calls_in_flight.discard(in_flight)
+        if call.send_status is SendStatus.UNSENT:
+            return _ABANDONED_UNSENT
+        return _ABANDONED
+
+    def abandon_calls(self, host_ids: Collection[HostId]) -> int:
+        """Gives up calls to hosts that fell silent, where they can run elsewhere.
+
+        Those that may have run are given up only if they are idempotent and there is a
+        retry left for them. All others go on waiting: the way may come back in time.
+
+        Returns:
+            How many were given up.
+        """
+        silent_ids = set(host_ids)
+        abandoned = [
+            each
+            for each in self._calls_in_flight
+            if each.host_id in silent_ids and self._may_abandon(each)
+        ]
+        for in_flight in abandoned:
+            in_flight.scope.cancel()
+        return len(abandoned)
+
+    def _may_abandon(self, in_flight: _CallInFlight) -> bool:
+        """Decides whether to give up a call, and takes the retry that it then needs."""
+        call = in_flight.call
+        if not self._balancer.has_choice(call.service, {in_flight.host_id}):
+            return False
+        is_unsent = call.send_status is SendStatus.UNSENT
+        if is_unsent or not self._peers_retry:
+            in_flight.returned_retries = in_flight.granted_retries
+            call.retries.return_unused(in_flight.returned_retries)
+        if is_unsent:
+            may_abandon = _can_resend(call, _ABANDONED_UNSENT)
+        else:
+            may_abandon = self._may_retry(call, _ABANDONED)
+            call.has_paid_retry = may_abandon
+        if not may_abandon:
+            call.retries.take(in_flight.returned_retries)
+        return may_abandon
 
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         if isinstance(outcome, Unanswered) and not call.idempotent:
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -279,6 +279,7 @@
         [({}, status.proof_age_s)],
     )
     _add_eras(registry, status)
+    _add_reachability(registry, status)
     _add_counter(
         registry,
         "mangospoke_log_calls_total",
@@ -302,6 +303,21 @@
     )
 
 
+def _add_reachability(registry: Registry, status: DaemonStatus) -> None:
+    _add_gauge(
+        registry,
+        "mangospoke_domain_silent",
+        "1 for another failure domain that nothing reaches from this host.",
+        [({"domain": domain}, 1) for domain in status.silent_domains or ()],
+    )
+    _add_counter(
+        registry,
+        "mangospoke_reachability_changes_total",
+        "Times that another failure domain fell silent or came back.",
+        [({}, status.reachability_changes)],
+    )
+
+
 def _add_eras(registry: Registry, status: DaemonStatus) -> None:
     _add_counter(
         registry,
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -181,6 +181,9 @@
         log_calls: Calls to the log service since the daemon started.
         proof_age_s: Seconds since the active configuration was last confirmed as the
             newest; None where that isn't tracked.
+        silent_domains: Other failure domains that nothing reaches from here; None where
+            that isn't tracked.
+        reachability_changes: Times that another domain fell silent or came back.
     """
 
     host_id: HostId
@@ -203,3 +206,5 @@
     tokens: tuple[TokenStatus, ...] = ()
     log_calls: tuple[LogCallCount, ...] = ()
     proof_age_s: float | None = None
+    silent_domains: tuple[FailureDomainId, ...] | None = None
+    reachability_changes: int = 0
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -1,6 +1,6 @@
 """Client side of the peer protocol: pooled connections to other daemons."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 import trio
@@ -72,6 +72,9 @@
 DelayObserver = Callable[[str, float], None]
 """Called with a peer's address and the one-way delay in seconds."""
 
+AddressObserver = Callable[[str], None]
+"""Called with a peer's address."""
+
 
 @dataclass(slots=True)
 class _PeerConnection:
@@ -90,6 +93,10 @@
 class PeerConnectionPool:
     """Pool of connections to the daemons that this one forwards requests to.
 
+    Attributes:
+        record_sent: Called with an address when something was sent there.
+        record_heard: Called with an address when something was received from there.
+
     Args:
         identity: Identity of this daemon.
         translate: Addresses to connect to, by advertised address, where they differ.
@@ -115,6 +122,8 @@
         self._max_body_bytes = max_body_bytes
         self._read_notice = read_notice
         self._idle_by_address: dict[str, list[_PeerConnection]] = {}
+        self.record_sent: AddressObserver = _ignore_address
+        self.record_heard: AddressObserver = _ignore_address
 
     async def execute(self, address: str, call: Call, retries: int) -> Outcome:
         """Forwards a call to the daemon at an address and returns the outcome.
@@ -173,8 +182,10 @@
         """
         connection = await self._acquire(address)
         try:
+            self.record_sent(address)
             await connection.frames.send(Question(content))
             reply = await connection.frames.receive()
+            self.record_heard(address)
             expect(reply, Reply)
         except BaseException:
             connection.frames.stream.close()
@@ -212,6 +223,7 @@
 
     async def _dial_with_secret(self, address: str, secret: str) -> _PeerConnection:
         ip, port = split_address(self._translate.get(address, address))
+        self.record_sent(address)
         try:
             with trio.fail_after(_DIAL_TIMEOUT_S):
                 stream = await open_stream(ip, port)
@@ -223,8 +235,13 @@
                 except BaseException:
                     stream.close()
                     raise
+        except ConnectionRefusedError as error:
+            # The host itself answered, so that the way there isn't cut.
+            self.record_heard(address)
+            raise PeerUnavailableError(f"{address}: {error}") from error
         except (OSError, trio.TooSlowError) as error:
             raise PeerUnavailableError(f"{address}: {error}") from error
+        self.record_heard(address)
         self._observe_one_way_delay(address, round_trip_s / 2)
         stream.enable_keep_alive()
         return _PeerConnection(frames, round_trip_s / 2)
@@ -238,11 +255,13 @@
         head = _request_head(call, retries, connection.one_way_delay_s, notice)
         # From here on the peer may have received the request.
         call.send_status = SendStatus.SENT
+        self.record_sent(address)
         await frames.send(head)
         if call.body.content is None:
             response = await _receive_while_sending(frames, call.body)
         else:
             response = await frames.receive()
+        self.record_heard(address)
         expect(response, ResponseHead, Ended)
         assert isinstance(response, ResponseHead | Ended)
         if response.request_id != call.request_id:
@@ -293,6 +312,12 @@
             else:
                 del self._idle_by_address[address]
 
+    def close_idle(self, addresses: Collection[str]) -> None:
+        """Closes the idle connections to some addresses, which may be dead."""
+        for address in addresses:
+            for connection in self._idle_by_address.pop(address, ()):
+                connection.frames.stream.close()
+
     def close(self) -> None:
         """Closes the idle connections."""
         for idle_connections in self._idle_by_address.values():
@@ -301,6 +326,10 @@
         self._idle_by_address.clear()
 
 
+def _ignore_address(address: str) -> None:
+    """Does nothing."""
+
+
 def _request_head(
     call: Call, retries: int, one_way_delay_s: float, notice: UpstreamNotice | None
 ) -> RequestHead:
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -87,6 +87,7 @@
         ejector: Ejector,
         read_own_load: Callable[[], Load],
         random_source: random.Random,
+        is_silent: Callable[[FailureDomainId], bool] = lambda domain: False,
     ) -> None:
         """Initializes the balancer.
 
@@ -97,7 +98,9 @@
             ejector: Determines which upstreams are ejected.
             read_own_load: Reads the load of this host's own upstream.
             random_source: Source of the random samples.
+            is_silent: Whether nothing reaches a failure domain from here.
         """
+        self._is_silent = is_silent
         self.notices = UpstreamNotices()
         self._fleet = fleet
         self._host_id = host_id
@@ -277,7 +280,11 @@
     def _is_usable(
         self, upstream: UpstreamAnnounced, excluded: Collection[HostId]
     ) -> bool:
-        return upstream.host_id not in excluded and self._ejector.may_send(upstream)
+        return (
+            upstream.host_id not in excluded
+            and not self._is_silent(upstream.failure_domain)
+            and self._ejector.may_send(upstream)
+        )
 
     def _choose_upstream(
         self, upstream: UpstreamAnnounced, reason: str
--- a/mangospoke/routing/ejection.py
+++ b/mangospoke/routing/ejection.py
@@ -10,6 +10,7 @@
 
 import enum
 import math
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import trio
@@ -233,6 +234,17 @@
         else:
             self._eject(health)
 
+    def forget_hosts(self, host_ids: Collection[HostId]) -> None:
+        """Forgets failures that say nothing about the hosts, as the way was cut.
+
+        What is known of their draining stays.
+        """
+        now = trio.current_time()
+        for host_id in host_ids:
+            health = self._health_by_host.get(host_id)
+            if health is not None and now >= health.draining_until:
+                self._forget(host_id)
+
     def retain_hosts(self, host_ids: set[HostId]) -> None:
         """Forgets all hosts but those given, which are the fleet's members."""
         for host_id in set(self._health_by_host) - host_ids:
--- a/tests/platform/hosted_fleet.py
+++ b/tests/platform/hosted_fleet.py
@@ -87,7 +87,9 @@
 class HostedDaemonProcess:
     """A daemon process and its addresses."""
 
-    def __init__(self, number, ip, upstream, store_address, directory, bounds=()):
+    def __init__(
+        self, number, ip, upstream, store_address, directory, bounds=(), zone="a"
+    ):
         self.upstream = upstream
         self.outbound, self.inbound, self.ready, self.control = (
             f"{ip}:{port}" for port in LISTEN_PORTS
@@ -95,7 +97,7 @@
         settings = {
             "nodeName": f"machine-{number}",
             "ip": ip,
-            "zone": "a",
+            "zone": zone,
             "region": "r",
             "listen": {
                 "outbound": self.outbound,
@@ -198,6 +200,7 @@
     make_upstream=Upstream,
     slots=10,
     bounds=(),
+    zones=None,
     **settings,
 ):
     """Runs one daemon for each service until the block ends.
@@ -209,6 +212,7 @@
         make_upstream: Makes the fake upstream of a service.
         slots: Requests that each upstream says it runs at once.
         bounds: The bounds in the settings files, each `name=value`.
+        zones: Failure domains of daemons, by service, where it isn't `a`.
         settings: What else the configuration says.
     """
     store = FakeStore()
@@ -223,8 +227,9 @@
                 upstream = make_upstream(service)
                 upstream.address = await nursery.start(serve_http, upstream.handle)
                 ip = network.host_ip(number)
+                zone = (zones or {}).get(service, "a")
                 daemon = HostedDaemonProcess(
-                    number, ip, upstream, address, directory, bounds
+                    number, ip, upstream, address, directory, bounds, zone
                 )
                 fleet.daemons_by_service[service] = daemon
                 daemon.start()
