Requests whose calls are only behind a cut are refused before they run

Cause: while a failure domain is silent, requests that need a service which only it serves took up slots, and ended with a failure of their upstream.

Change (hosted daemons): the id of a call names its parent, so the daemon beside an upstream learns from runs that succeeded which services a route's requests call.

Measured: tests/guard, tests/routing, tests/ingress pass (the new test of is_behind_cut had failed once as it wasn't async). No real processes were run with a call that is cut off.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -189,6 +189,8 @@
             self.decisions,
             shutdown,
         )
+        self.request_handler.record_callee = self.guard.route_callees.record_call
+        self.guard.is_behind_cut = balancer.is_behind_cut
         callees = self.request_handler.callees
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
             balancer.delay_s, trio.current_time()
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -1,7 +1,8 @@
 """The guard: runs calls in the local upstream and is its only client."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import msgspec
 import trio
@@ -28,6 +29,7 @@
 from mangospoke.ids import ServiceName
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
+from mangospoke.routing.route_callees import RouteCallees
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import (
     Answered,
@@ -45,6 +47,19 @@
 _CONNECT_CHECK_TIMEOUT_S = 0.5
 
 
+class _Run:
+    """A run in the upstream.
+
+    Attributes:
+        outcome: Its outcome; None while there is none.
+    """
+
+    __slots__ = ("outcome",)
+
+    def __init__(self) -> None:
+        self.outcome: Outcome | None = None
+
+
 class Guard:
     """Runs calls in this host's upstream.
 
@@ -55,6 +70,8 @@
             for a short notice period, then refused.
         leaving_listeners: Called when the upstream says in a response that it leaves.
         read_downstream_delay_s: Reads the highest queue delay of downstream services.
+        route_callees: Services that the requests of each route call.
+        is_behind_cut: Whether a service can't be reached from here.
     """
 
     def __init__(
@@ -77,6 +94,8 @@
         self.statements.on_leaving = self._handle_leaving
         self.quarantine: QuarantineController | None = None
         self.read_downstream_delay_s: Callable[[], float] = _zero_delay
+        self.route_callees = RouteCallees()
+        self.is_behind_cut: Callable[[ServiceName], bool] = _is_never_cut
         self._refuse_from = math.inf
         self._fleet = fleet
         self._limits = limits
@@ -319,6 +338,10 @@
             return Refused(RefusalReason.UPSTREAM_UNREACHABLE, detail)
         if trio.current_time() >= self._refuse_from:
             return Refused(RefusalReason.DRAINING, "the upstream is draining")
+        for callee in self.route_callees.needed(call.route):
+            if self.is_behind_cut(callee):
+                detail = f"it calls {callee}, which can't be reached from here"
+                return Refused(RefusalReason.NO_UPSTREAM, detail, retry_after_s=1)
         return None
 
     async def _run_admitted(self, call: Call) -> Outcome:
@@ -333,13 +356,29 @@
         assert connections is not None and announcement is not None
         service = self._fleet.configuration.services_by_name.get(call.service)
         echoes_request_id = service is None or service.echoes_request_id
-        with self.executions.register(call) as token:
-            outcome = await connections.execute(
+        with self.executions.register(call) as token, self._learn_callees(call) as run:
+            outcome = run.outcome = await connections.execute(
                 call, token, echoes_request_id, announcement.instance
             )
         self._detect_restart(outcome)
         return outcome
 
+    @contextmanager
+    def _learn_callees(self, call: Call) -> Iterator[_Run]:
+        run = _Run()
+        self.route_callees.begin_run(call.request_id)
+        try:
+            yield run
+        finally:
+            outcome = run.outcome
+            is_complete = (
+                isinstance(outcome, Answered)
+                and outcome.status < _MIN_SERVER_ERROR_STATUS
+            )
+            self.route_callees.end_run(
+                call.request_id, call.route, is_complete=is_complete
+            )
+
     def _detect_restart(self, outcome: Outcome) -> None:
         """Starts cold when an upstream responds again after it was unreachable."""
         if isinstance(outcome, Refused):
@@ -361,6 +400,10 @@
     return 0.0
 
 
+def _is_never_cut(service: ServiceName) -> bool:
+    return False
+
+
 def _deadline_exceeded(call: Call) -> Outcome:
     if call.send_status is SendStatus.SENT:
         return Unanswered(FailureReason.DEADLINE_EXCEEDED, "no answer in time")
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -16,7 +16,7 @@
     EffectiveRoute,
 )
 from mangospoke.http.messages import HttpRequest, HttpResponse
-from mangospoke.ids import ClientAccountId, KeyId, ServiceName
+from mangospoke.ids import ClientAccountId, KeyId, RequestId, ServiceName
 from mangospoke.ingress.callees import Callees
 from mangospoke.ingress.calls import NO_ACCOUNT, new_request_id
 from mangospoke.ingress.dialect import CallerDialect, CallerFields
@@ -33,12 +33,17 @@
 
 _NO_SERVICE = ServiceName("")
 
+CalleeObserver = Callable[[RequestId, ServiceName], None]
+"""Called with the id of a request and a service that an upstream calls for it."""
+
 
 class HostedRequestHandler:
     """Handles requests that enter the fleet at this host.
 
     Attributes:
         callees: The services that this host's upstream calls.
+        record_callee: Called with the id of the request for which the upstream calls
+            a service, and the service.
     """
 
     def __init__(
@@ -68,6 +73,7 @@
         self._shedder = RootRequestShedder()
         self._random = random.Random()
         self.callees = Callees(service)
+        self.record_callee: CalleeObserver = _ignore_callee
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Authenticates a request, enforces its account's rate and dispatches it."""
@@ -98,6 +104,7 @@
         request.request_id = call.request_id
         if call.is_sub_call:
             self.callees.record_call(service, trio.current_time())
+            self.record_callee(call.parent_id, service)
         else:
             # Before a token is taken: it may have come from another host.
             overload_refusal = self._refuse_if_overloaded(call)
@@ -241,6 +248,10 @@
         return refused
 
 
+def _ignore_callee(parent_id: RequestId, service: ServiceName) -> None:
+    """Does nothing."""
+
+
 def _key_id_of(fields: CallerFields, account: EffectiveAccount | None) -> KeyId | None:
     return None if account is None else fields.key_id
 
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -212,6 +212,15 @@
             return self._choose_upstream(other_domain, "spill-over")
         return self._choose_upstream(own_domain, "own-domain")
 
+    def is_behind_cut(self, service: ServiceName) -> bool:
+        """Returns whether a service has upstreams, but only in silent domains."""
+        candidates = self._candidates(service)
+        return (
+            not candidates.own_domain
+            and bool(candidates.other_domains)
+            and all(self._is_silent(u.failure_domain) for u in candidates.other_domains)
+        )
+
     def has_choice(self, service: ServiceName, excluded: Collection[HostId]) -> bool:
         """Returns whether a service has a usable upstream that isn't excluded."""
         candidates = self._candidates(service)
--- a/tests/ingress/test_abandoned_calls.py
+++ b/tests/ingress/test_abandoned_calls.py
@@ -181,3 +181,16 @@
     hosts.execute = execute
     assert await hosts.dispatcher.dispatch(call) is ANSWERED
     assert call.retries.remaining <= 1
+
+
+async def test_a_service_is_taken_for_cut_off_while_one_domain_serves_it(
+    autojump_clock,
+):
+    hosts = SilentHosts(hosts=("b1", "c1"))
+    balancer = hosts.dispatcher._balancer
+    assert not balancer.is_behind_cut("batches")
+    hosts.silent = {"b"}
+    assert not balancer.is_behind_cut("batches")
+    hosts.silent = {"b", "c"}
+    assert balancer.is_behind_cut("batches")
+    assert not balancer.is_behind_cut("unknown")
