--- a/mangospoke/daemon/hosting.py
+++ b/mangospoke/daemon/hosting.py
@@ -8,22 +8,10 @@
 from dataclasses import dataclass
 
 from mangospoke.conf.settings import Settings
+from mangospoke.guard.retry_arrivals import RetryLimit
 from mangospoke.ids import FailureDomainId, ServiceName
 
 
-@dataclass(frozen=True, slots=True)
-class FleetRetryLimit:
-    """Requests that the fleet may retry at another upstream of the same service.
-
-    Attributes:
-        window_s: Length of the window in which retries are counted, in seconds.
-        min_retries: Retries allowed per window, however few requests there are.
-    """
-
-    window_s: float
-    min_retries: float
-
-
 @dataclass(frozen=True, slots=True)
 class RateExcessLimits:
     """By how much all hosts together may exceed a client account's rate and burst.
@@ -39,6 +27,19 @@
     max_excess_requests: float
 
 
+@dataclass(frozen=True, slots=True)
+class ColdExcessLimits:
+    """By how much a cold upstream's requests of a second may exceed its service's rate.
+
+    Attributes:
+        max_excess_ratio: Allowed excess as a ratio of that rate.
+        max_excess_requests: Additional requests that it may get in the second.
+    """
+
+    max_excess_ratio: float = 0.0
+    max_excess_requests: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Guarantees:
     """Guaranteed bounds that operators rely on.
@@ -51,13 +52,18 @@
         stop_s: Seconds from the stop signal to the exit of the process.
         retries: Limits retries at other upstreams.
         rates: Limits the excess over the rates of client accounts.
+        cold: Limits the excess over the rates of cold upstreams.
+        evacuation_s: Seconds after the order to evacuate a failure domain in which its
+            upstreams may still receive requests; enforced by `guard/evacuation.py`.
     """
 
     withdrawal_s: float
     drain_s: float
     stop_s: float
-    retries: FleetRetryLimit
+    retries: RetryLimit
     rates: RateExcessLimits
+    evacuation_s: float
+    cold: ColdExcessLimits = ColdExcessLimits()
 
 
 @dataclass(frozen=True, slots=True)
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -1,14 +1,16 @@
 """Builds the status that daemons report at their operations address."""
 
+import math
 from typing import Protocol
 
 import msgspec
+import trio
 
 from mangospoke.conf.settings import Settings
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
 from mangospoke.http.server import ConnectionContext
-from mangospoke.ids import ServiceName
+from mangospoke.ids import FailureDomainId, ServiceName
 from mangospoke.logservice.calls import LogTransport
 from mangospoke.logservice.client import LogClient
 from mangospoke.logservice.era import LogEra
@@ -16,6 +18,7 @@
 from mangospoke.observability.overload import OverloadDetector
 from mangospoke.observability.status import (
     DaemonStatus,
+    EvacuationStatus,
     LogCallCount,
     LogHealth,
     OutcomeCount,
@@ -27,6 +30,8 @@
 from mangospoke.rates.status import read_shares
 from mangospoke.routing.reachability import DomainReachability
 from mangospoke.routing.reachability_watch import ReachabilityWatch
+from mangospoke.state.evacuated_services import EvacuatedServices
+from mangospoke.state.evacuations import Evacuations
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.registrar import HostRegistrar
@@ -64,6 +69,7 @@
     freshness: Freshness
     reachability: DomainReachability
     reachability_watch: ReachabilityWatch
+    evacuated_services: EvacuatedServices
 
 
 def read_status(daemon: _StandaloneDaemon) -> DaemonStatus:
@@ -87,9 +93,21 @@
         host_rewrites=daemon.registrar.rewrite_count,
         silent_domains=tuple(daemon.reachability.silent_domains()),
         reachability_changes=daemon.reachability_watch.changes,
+        evacuations=_read_evacuations(daemon.fleet.evacuations),
+        evacuated_services=tuple(daemon.evacuated_services.services),
     )
 
 
+def _read_evacuations(evacuations: Evacuations) -> tuple[EvacuationStatus, ...]:
+    def read(domain: FailureDomainId) -> EvacuationStatus:
+        age_s = evacuations.age_s(domain)
+        return EvacuationStatus(
+            domain, evacuations.share(domain), age_s if math.isfinite(age_s) else None
+        )
+
+    return tuple(map(read, [*evacuations.domains(), *evacuations.returning()]))
+
+
 def _build_common_status(daemon: _AnyDaemon, log: LogHealth) -> DaemonStatus:
     return DaemonStatus(
         host_id=daemon.identity.host_id,
@@ -148,12 +166,22 @@
         in_flight=load.in_flight,
         queued=load.queued,
         queue_delay_ms=load.queue_delay_ms,
-        rate_limit=rate_limit.rate_per_s,
+        rate_limit=rate_limit.stated_per_s,
         limit_admitted=rate_limit.admitted_count,
         limit_refused=rate_limit.refused_count,
+        cold_left_s=_read_cold_left_s(guard),
+        cold_turns=guard.cold_starts.turn_count,
     )
 
 
+def _read_cold_left_s(guard: Guard) -> float | None:
+    """Returns the seconds of a bounded cold time; None if its end isn't known."""
+    if not guard.cold_starts.is_bounded:
+        return 0.0
+    left_s = guard.cold_starts.warmth.left_s(trio.current_time())
+    return round(left_s, 3) if math.isfinite(left_s) else None
+
+
 def _read_offsets(fleet: Fleet) -> dict[str, int]:
     return {
         stream.value: offset for stream, offset in fleet.next_offset_by_stream.items()
--- a/mangospoke/ingress/dispatch.py
+++ b/mangospoke/ingress/dispatch.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from mangospoke.calls import Call, KeyUse, SendStatus
+from mangospoke.calls import Call, KeyUse, Repetition, SendStatus
 from mangospoke.guard.idempotency_keys import add_record_location
 from mangospoke.ids import HostId
 from mangospoke.logservice.records import UpstreamAnnounced
@@ -155,7 +155,7 @@
         outcome: Outcome | None = None
         reroutes_left = self._max_reroutes
         while True:
-            choice = self._balancer.choose(call.service, tried_hosts)
+            choice = self._balancer.choose(call.service, tried_hosts, call.route)
             if choice is None:
                 return outcome or Refused(
                     RefusalReason.NO_UPSTREAM, "no upstream serves it"
@@ -170,6 +170,8 @@
             tried_hosts.add(choice.upstream.host_id)
             if isinstance(outcome, Unanswered):
                 call.earlier = outcome
+            if outcome is not None and _has_arrived(outcome):
+                call.repetition = Repetition.RETRY
             call.send_status = SendStatus.UNSENT
             call.may_wait = not (
                 reroutes_left
@@ -248,7 +250,10 @@
     def _may_abandon(self, in_flight: _CallInFlight) -> bool:
         """Decides whether to give up a call, and takes the retry that it then needs."""
         call = in_flight.call
-        if not self._balancer.has_choice(call.service, {in_flight.host_id}):
+        tried_hosts = {in_flight.host_id} | {
+            HostId(each.host) for each in call.attempts
+        }
+        if not self._balancer.has_choice(call.service, tried_hosts):
             return False
         is_unsent = call.send_status is SendStatus.UNSENT
         if is_unsent or not self._peers_retry:
@@ -289,6 +294,11 @@
     )
 
 
+def _has_arrived(outcome: Outcome) -> bool:
+    """Returns whether a failed call may have arrived at its upstream."""
+    return not isinstance(outcome, Refused) or outcome.reason in _REFUSALS_BY_UPSTREAM
+
+
 def _may_reroute(call: Call, outcome: Outcome) -> bool:
     """Returns whether a call may be sent to another upstream without using a retry.
 
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -84,6 +84,7 @@
     if status.upstream is None:
         return
     _add_rate_limit(registry, status.upstream)
+    _add_cold_start(registry, status.upstream)
     values_by_name = {
         "limit": status.upstream.limit,
         "in_flight": status.upstream.in_flight,
@@ -118,6 +119,22 @@
     )
 
 
+def _add_cold_start(registry: Registry, upstream: UpstreamStatus) -> None:
+    service = upstream.service
+    _add_gauge(
+        registry,
+        "mangospoke_upstream_cold",
+        "Whether the upstream on this host is cold and gets a bounded rate (1) or not.",
+        [({"service": service}, 0 if upstream.cold_left_s == 0 else 1)],
+    )
+    _add_counter(
+        registry,
+        "mangospoke_upstream_cold_turns_total",
+        "Times that the upstream on this host turned cold.",
+        [({"service": service}, upstream.cold_turns)],
+    )
+
+
 def _add_state(registry: Registry, state: StateStatus | None) -> None:
     if state is None:
         return
@@ -280,6 +297,7 @@
     )
     _add_eras(registry, status)
     _add_reachability(registry, status)
+    _add_evacuations(registry, status)
     _add_counter(
         registry,
         "mangospoke_log_calls_total",
@@ -318,6 +336,24 @@
     )
 
 
+def _add_evacuations(registry: Registry, status: DaemonStatus) -> None:
+    _add_gauge(
+        registry,
+        "mangospoke_failure_domain_share",
+        "Part of its usual requests that an evacuated or returning domain may get.",
+        [
+            ({"failure_domain": each.failure_domain}, each.share)
+            for each in status.evacuations
+        ],
+    )
+    _add_gauge(
+        registry,
+        "mangospoke_service_evacuated",
+        "1 for each service whose upstreams are all in evacuated failure domains.",
+        [({"service": service}, 1) for service in status.evacuated_services],
+    )
+
+
 def _add_eras(registry: Registry, status: DaemonStatus) -> None:
     _add_counter(
         registry,
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -28,8 +28,11 @@
 
     Attributes:
         rate_limit: Requests a second that it says it takes; None if it names no limit.
-        limit_admitted: Requests admitted under such a limit since the daemon's start.
+        limit_admitted: Requests admitted under such a limit, or that of a cold
+            upstream, since the daemon's start.
         limit_refused: Requests refused because of it.
+        cold_left_s: Seconds for which it counts as cold; None while that is open.
+        cold_turns: Times that it turned cold since the daemon's start.
     """
 
     service: ServiceName
@@ -42,6 +45,8 @@
     rate_limit: float | None = None
     limit_admitted: int = 0
     limit_refused: int = 0
+    cold_left_s: float | None = 0.0
+    cold_turns: int = 0
 
 
 class LogHealth(Struct, frozen=True):
@@ -160,6 +165,20 @@
     shed: int
 
 
+class EvacuationStatus(Struct, frozen=True):
+    """A failure domain that is evacuated, or returns from an evacuation.
+
+    Attributes:
+        share: Part of its usual requests that it may get, from 0 (evacuated) to 1.
+        age_s: Seconds since this host learned of the evacuation; None if it found it
+            at its start, or if it was taken back.
+    """
+
+    failure_domain: FailureDomainId
+    share: float
+    age_s: float | None
+
+
 class DaemonStatus(Struct, frozen=True, kw_only=True):
     """Status of a daemon.
 
@@ -184,6 +203,8 @@
         silent_domains: Other failure domains that nothing reaches from here; None where
             that isn't tracked.
         reachability_changes: Times that another domain fell silent or came back.
+        evacuations: Failure domains that don't get their whole share of requests.
+        evacuated_services: Services whose upstreams are all in evacuated domains.
     """
 
     host_id: HostId
@@ -208,3 +229,5 @@
     proof_age_s: float | None = None
     silent_domains: tuple[FailureDomainId, ...] | None = None
     reachability_changes: int = 0
+    evacuations: tuple[EvacuationStatus, ...] = ()
+    evacuated_services: tuple[ServiceName, ...] = ()
