--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -47,6 +47,8 @@
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
+from mangospoke.routing.reachability import DomainReachability, ReachabilityChange
+from mangospoke.routing.reachability_watch import ReachabilityWatch
 from mangospoke.routing.retries import UnlimitedRetryBudget
 from mangospoke.shutdown import Shutdown
 from mangospoke.state.evacuated_services import EvacuatedServices
@@ -128,6 +130,9 @@
         )
         self.registrar.written_listeners.append(self.directory.handle_written)
         self.ejector = Ejector()
+        self.reachability = DomainReachability(
+            settings.host.id, domain, random.Random()
+        )
         balancer = Balancer(
             self.fleet,
             settings.host.id,
@@ -135,6 +140,7 @@
             self.ejector,
             self.guard.load,
             random.Random(),
+            self.reachability.is_silent,
         )
         self.identity = Identity(
             settings.host.id, domain, incarnation, settings.fleet.secret
@@ -148,6 +154,14 @@
             balancer.notices.read,
         )
         self.control = PeerControlChannel(self.peers)
+        self.reachability_watch = ReachabilityWatch(
+            settings.host.id,
+            domain,
+            incarnation,
+            self.fleet,
+            self.control,
+            self.reachability,
+        )
         self.quarantine = QuarantineController(
             settings.host.id,
             domain,
@@ -169,7 +183,9 @@
             UnlimitedRetryBudget(),
             _MAX_REROUTES,
             shutdown,
+            peers_retry=False,
         )
+        self._follow_reachability(dispatcher)
         self.homes = self._make_homes()
         self.rates = BorrowedRates(
             settings.host.id,
@@ -191,6 +207,8 @@
             shutdown,
             self.guard.executions,
         )
+        self.request_handler.record_callee = self.guard.route_callees.record_call
+        self.guard.is_behind_cut = balancer.is_behind_cut
         callees = self.request_handler.callees
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
             balancer.delay_s, trio.current_time()
@@ -247,6 +265,26 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
+    def _follow_reachability(self, dispatcher: Dispatcher) -> None:
+        """Connects what learns of silent failure domains with what acts on them."""
+        reachability, peers = self.reachability, self.peers
+        peers.record_sent = lambda address: reachability.record_sent(
+            address, trio.current_time()
+        )
+        peers.record_heard = lambda address: reachability.record_heard(
+            address, trio.current_time()
+        )
+
+        def act(change: ReachabilityChange) -> None:
+            host_ids = [host.host_id for host in change.hosts]
+            if change.is_silent:
+                peers.close_idle([host.peer_address for host in change.hosts])
+                dispatcher.abandon_calls(host_ids)
+            else:
+                self.ejector.forget_hosts(host_ids)
+
+        reachability.listeners.append(act)
+
     def _is_known_service(self, service: ServiceName) -> bool:
         return (
             service == self.hosted_settings.upstream_service
@@ -311,6 +349,7 @@
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
             "peer connections": self.peers.run,
+            "reachability": self.reachability_watch.run,
             "prober": lambda: probe_ejected_hosts(self.ejector, self.is_alive),
             "overload": self.overload.run,
             "loop lag": self.lag.run,
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -28,6 +28,8 @@
 from mangospoke.rates.borrowing import BorrowedRates
 from mangospoke.rates.service import Rates
 from mangospoke.rates.status import read_shares
+from mangospoke.routing.reachability import DomainReachability
+from mangospoke.routing.reachability_watch import ReachabilityWatch
 from mangospoke.state.evacuated_services import EvacuatedServices
 from mangospoke.state.evacuations import Evacuations
 from mangospoke.state.fleet import Fleet
@@ -65,6 +67,8 @@
     registrar: HostRegistrar
     rates: BorrowedRates
     freshness: Freshness
+    reachability: DomainReachability
+    reachability_watch: ReachabilityWatch
     evacuated_services: EvacuatedServices
 
 
@@ -87,6 +91,8 @@
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
         host_rewrites=daemon.registrar.rewrite_count,
+        silent_domains=tuple(daemon.reachability.silent_domains()),
+        reachability_changes=daemon.reachability_watch.changes,
         evacuations=_read_evacuations(daemon.fleet.evacuations),
         evacuated_services=tuple(daemon.evacuated_services.services),
     )
--- a/mangospoke/guard/guard.py
+++ b/mangospoke/guard/guard.py
@@ -33,6 +33,7 @@
 from mangospoke.ids import NO_ROUTE, InstanceId, RouteName, ServiceName
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.peers.messages import Load
+from mangospoke.routing.route_callees import RouteCallees
 from mangospoke.state.fleet import Fleet
 from mangospoke.verdicts import (
     Answered,
@@ -62,6 +63,8 @@
             for a short notice period, then refused.
         leaving_listeners: Called when the upstream says in a response that it leaves.
         read_downstream_delay_s: Reads the highest queue delay of downstream services.
+        route_callees: Services that the requests of each route call.
+        is_behind_cut: Whether a service can't be reached from here.
         retry_gate: Bounds the repeated requests that reach the upstream; by default,
             only their senders do.
         is_evacuated: Whether nothing may reach the upstream, as its failure domain is
@@ -92,6 +95,8 @@
         )
         self.quarantine: QuarantineController | None = None
         self.read_downstream_delay_s: Callable[[], float] = _zero_delay
+        self.route_callees = RouteCallees()
+        self.is_behind_cut: Callable[[ServiceName], bool] = _is_never_cut
         self.retry_gate: RetryGate | None = None
         self.is_evacuated: Callable[[], bool] = _not_evacuated
         self._refuse_from = math.inf
@@ -380,6 +385,10 @@
             return Refused(RefusalReason.UPSTREAM_UNREACHABLE, detail)
         if trio.current_time() >= self._refuse_from:
             return Refused(RefusalReason.DRAINING, "the upstream is draining")
+        for callee in self.route_callees.needed(call.route):
+            if self.is_behind_cut(callee):
+                detail = f"it calls {callee}, which can't be reached from here"
+                return Refused(RefusalReason.NO_UPSTREAM, detail, retry_after_s=1)
         if self.is_evacuated():
             return EVACUATED
         return None
@@ -397,6 +406,7 @@
         service = self._fleet.configuration.services_by_name.get(call.service)
         echoes_request_id = service is None or service.echoes_request_id
         outcome: Outcome | None = None
+        self.route_callees.begin_run(call.request_id)
         with self.executions.register(call) as execution:
             try:
                 outcome = await connections.execute(
@@ -411,6 +421,11 @@
         """Learns from a call that ended; without an outcome it was cancelled."""
         now = trio.current_time()
         result = judge_execution(execution, outcome, now)
+        self.route_callees.end_run(
+            execution.call.request_id,
+            execution.call.route,
+            is_complete=result is ExecutionResult.SUCCEEDED,
+        )
         if result is ExecutionResult.SUCCEEDED:
             own_work_s = execution.own_work_s(now)
             self.performance.record_success(execution.call.route, own_work_s, now)
@@ -443,6 +458,10 @@
     return 0.0
 
 
+def _is_never_cut(service: ServiceName) -> bool:
+    return False
+
+
 def _deadline_exceeded(call: Call) -> Outcome:
     if call.send_status is SendStatus.SENT:
         return Unanswered(FailureReason.DEADLINE_EXCEEDED, "no answer in time")
--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -114,6 +114,7 @@
         ejector: Ejector,
         read_own_load: Callable[[RouteName], Load],
         random_source: random.Random,
+        is_silent: Callable[[FailureDomainId], bool] = lambda domain: False,
     ) -> None:
         """Initializes the balancer.
 
@@ -125,7 +126,9 @@
             read_own_load: Reads the load of this host's own upstream, with the work of
                 a route.
             random_source: Source of the random samples.
+            is_silent: Whether nothing reaches a failure domain from here.
         """
+        self._is_silent = is_silent
         self.notices = UpstreamNotices()
         self._fleet = fleet
         self._host_id = host_id
@@ -272,6 +275,15 @@
             return self._choose_upstream(other_domain, "spill-over")
         return self._choose_upstream(own_domain, "own-domain")
 
+    def is_behind_cut(self, service: ServiceName) -> bool:
+        """Returns whether a service has upstreams, but only in silent domains."""
+        candidates = self._candidates(service)
+        return (
+            not candidates.own_domain
+            and bool(candidates.other_domains)
+            and all(self._is_silent(u.failure_domain) for u in candidates.other_domains)
+        )
+
     def _should_spill_over(
         self,
         own_domain: UpstreamAnnounced,
@@ -398,7 +410,11 @@
     def _is_usable(
         self, upstream: UpstreamAnnounced, excluded: Collection[HostId]
     ) -> bool:
-        return upstream.host_id not in excluded and self._ejector.may_send(upstream)
+        return (
+            upstream.host_id not in excluded
+            and not self._is_silent(upstream.failure_domain)
+            and self._ejector.may_send(upstream)
+        )
 
     def _choose_upstream(
         self, upstream: UpstreamAnnounced, reason: str
