--- a/tests/platform/cold_fleet.py
+++ b/tests/platform/cold_fleet.py
@@ -42,7 +42,7 @@
 
     @property
     def cold_left_ms(self):
-        return max(0, round((self.cold_until - trio.current_time()) * 1000))
+        return round(max(0.0, self.cold_until - trio.current_time()) * 1000)
 
     def turn_cold(self):
         self.cold_until = trio.current_time() + COLD_START_S
