--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -7,6 +7,7 @@
 
 import random
 import time
+from collections.abc import Sequence
 from dataclasses import replace
 
 import trio
@@ -18,16 +19,20 @@
 from mangospoke.daemon.platform_adapter import PlatformAdapter
 from mangospoke.daemon.status import read_hosted_status
 from mangospoke.daemon.supervision import Service
+from mangospoke.guard.evacuation import EvacuationGate
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
+from mangospoke.guard.retry_arrivals import RetryArrivals
+from mangospoke.guard.retry_gate import RetryGate
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
-from mangospoke.ids import HostId, Incarnation
+from mangospoke.ids import HostId, Incarnation, ServiceName
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.ingress.hosted import HostedRequestHandler
+from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.observability.lag import LoopLagMonitor
 from mangospoke.observability.logs import EventLog
@@ -42,10 +47,12 @@
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
-from mangospoke.routing.retries import FleetRetryBudget
+from mangospoke.routing.retries import UnlimitedRetryBudget
 from mangospoke.shutdown import Shutdown
+from mangospoke.state.evacuated_services import EvacuatedServices
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
+from mangospoke.state.heartbeats import make_heartbeat_check
 from mangospoke.state.host_directory import HostDirectory
 from mangospoke.state.keyed_following import KeyedFollowing
 from mangospoke.state.registrar import HostRegistrar
@@ -58,10 +65,11 @@
 """Parts of the allowed excess that are used. The rest covers an account's previous home
 that hasn't learned yet of the host that replaces it."""
 
-_RETRY_BUDGET_RATIO = 0.25
-"""Part of the fleet's retries that is used, since a retry repeats sub-calls too."""
-
 _MAX_REROUTES = 2
+_EVACUATION_NOTICE_RATIO = 0.15
+"""Part of `evacuation_s` in which the upstream of an evacuated domain still gets
+requests once its daemon knows. It may have learned late itself."""
+
 _DRAIN_NOTICE_RATIO = 0.35
 """Part of `drain_s` in which new requests are still accepted."""
 
@@ -97,6 +105,16 @@
             adapts_limit=False,
         )
         self._apply_cold_limits()
+        self.evacuated_services = EvacuatedServices(
+            self.fleet, hosted_settings.failure_domains
+        )
+        self.evacuation_gate = EvacuationGate(
+            self.fleet.evacuations,
+            domain,
+            guarantees.evacuation_s * _EVACUATION_NOTICE_RATIO,
+            self.guard.refuse_queued,
+        )
+        self.guard.is_evacuated = self.evacuation_gate.is_closed
         self.registrar = HostRegistrar(
             settings,
             incarnation,
@@ -104,6 +122,9 @@
             self.guard,
             platform.log,
             platform.topics.hosts,
+            make_heartbeat_check(
+                hosted_settings.upstream_address, domain, self._is_known_service
+            ),
         )
         self.registrar.written_listeners.append(self.directory.handle_written)
         self.ejector = Ejector()
@@ -128,12 +149,16 @@
         )
         self.control = PeerControlChannel(self.peers)
         self.quarantine = QuarantineController(
-            settings.host.id, self.fleet, self.control, self.guard.accepts_connections
+            settings.host.id,
+            domain,
+            self.fleet,
+            self.control,
+            self.guard.accepts_connections,
+            lambda: hosted_settings.upstream_service,
         )
         self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
         self.decisions.read_shutdown_status = shutdown.status
-        retries = guarantees.retries
         dispatcher = Dispatcher(
             settings.host.id,
             self.guard.execute,
@@ -141,11 +166,7 @@
             balancer,
             self.ejector,
             self.decisions,
-            FleetRetryBudget(
-                retries.min_retries * _RETRY_BUDGET_RATIO,
-                retries.window_s,
-                self._count_hosts,
-            ),
+            UnlimitedRetryBudget(),
             _MAX_REROUTES,
             shutdown,
         )
@@ -168,14 +189,22 @@
             balancer.downstream_delay_s,
             self.decisions,
             shutdown,
+            self.guard.executions,
         )
         callees = self.request_handler.callees
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
             balancer.delay_s, trio.current_time()
         )
-        self.handle_heartbeat = platform.heartbeat_handler(
-            self.registrar.handle_heartbeat
+        self.guard.retry_gate = RetryGate(
+            RetryArrivals(guarantees.retries),
+            lambda: balancer.count_upstreams(hosted_settings.upstream_service),
+            lambda: bool(callees.services(trio.current_time())),
+            lambda: any(
+                balancer.refuses_retries(service)
+                for service in callees.services(trio.current_time())
+            ),
         )
+        self.handle_heartbeat = platform.heartbeat_handler(self.registrar)
         self.connections = ConnectionContext(
             settings.limits,
             WorkCounter(),
@@ -200,7 +229,7 @@
             self.freshness,
             self.control,
         )
-        self.following.check_written = self.registrar.check_written
+        self.following.check_written = self._handle_stored_hosts
         self.following.peers.handle_newest = self.registrar.check_written
 
     def reload(self, hosted_settings: HostedSettings) -> None:
@@ -218,14 +247,23 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
+    def _is_known_service(self, service: ServiceName) -> bool:
+        return (
+            service == self.hosted_settings.upstream_service
+            or service in self.fleet.configuration.services_by_name
+        )
+
+    def _handle_stored_hosts(
+        self, newest: Sequence[KeyedRecord], sent_at: float, era: int | None
+    ) -> None:
+        self.registrar.take_over(newest)
+        self.registrar.check_written(newest, sent_at, era)
+
     def _apply_cold_limits(self) -> None:
         limits = self.hosted_settings.guarantees.cold
         self.guard.cold_starts.max_excess_ratio = limits.max_excess_ratio
         self.guard.cold_starts.max_excess_requests = limits.max_excess_requests
 
-    def _count_hosts(self) -> int:
-        return len(self.directory)
-
     def _make_homes(self) -> HomeDirectory:
         rates = self.hosted_settings.guarantees.rates
         return HomeDirectory(
@@ -268,6 +306,8 @@
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
             "cold starts": self.guard.cold_starts.run,
+            "suspects": self.quarantine.run,
+            "evacuation": self.evacuation_gate.run,
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
             "peer connections": self.peers.run,
