Ask an upstream whether it is cold when its failure domain is evacuated

Cause: upstreams of an evacuated domain may have turned cold shortly before the order, and their next heartbeat may be 1.5 s away.

Change: a daemon that learns of the evacuation of its own domain asks its upstream at the health path at once, if it sent to it lately.

That the order reaches the hook was read, not run end to end.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -115,6 +115,7 @@
             self.guard.refuse_queued,
         )
         self.guard.is_evacuated = self.evacuation_gate.is_closed
+        self.fleet.evacuations.listeners.append(self._handle_evacuation)
         self.registrar = HostRegistrar(
             settings,
             incarnation,
@@ -247,6 +248,11 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
+    def _handle_evacuation(self) -> None:
+        """Has the upstream asked whether it turned cold, as it may have just before."""
+        if self.fleet.evacuations.is_evacuated(self.settings.host.failure_domain):
+            self.guard.cold_starts.request_check()
+
     def _is_known_service(self, service: ServiceName) -> bool:
         return (
             service == self.hosted_settings.upstream_service
--- a/tests/guard/test_cold_starts.py
+++ b/tests/guard/test_cold_starts.py
@@ -163,6 +163,16 @@
     assert max(sum(s <= t < s + 1 for t in asked_at) for s in asked_at) <= 3
 
 
+async def test_an_upstream_that_may_have_turned_cold_unnoticed_is_asked_at_once(
+    controller, admission, health
+):
+    admission.rate_limit.take(trio.current_time())
+    health.cold_ms = b"2500"
+    controller.request_check()
+    await trio.sleep(0.1)
+    assert admission.rate_limit.rate_per_s == COLD_PER_S
+
+
 async def test_an_upstream_that_nothing_is_sent_to_is_not_asked(controller, health):
     controller.handle_unreachable()
     await trio.sleep(60)
--- a/tests/platform/cold_replay.py
+++ b/tests/platform/cold_replay.py
@@ -277,9 +277,9 @@
         forwarded.retries = RetryAllowance(retries)
         outcome = await peer.guard.execute(forwarded)
         call.send_status = forwarded.send_status
-        load = peer.guard.offer_load()
+        load = peer.guard.offer_load(call.route)
         await trio.sleep(NETWORK_S)
-        self._host.balancer.record_load(address, load)
+        self._host.balancer.record_load(address, load, call.route)
         return outcome
 
 
