--- a/tests/http/test_early_input.py
+++ b/tests/http/test_early_input.py
@@ -23,7 +23,9 @@
 
 
 async def exchange(connection):
-    return await connection.exchange(b"GET", b"/", [], buffered_body(b""), 1_000)
+    return await connection.exchange(
+        b"GET", b"/", [(b"host", b"x")], buffered_body(b""), 1_000
+    )
 
 
 async def open_pair():
