Routing: an upstream whose load nobody told is tried though others have room

Cause: an upstream without a recent load report is assumed half utilized. While all others report less, it is taken only if no other is among six random draws, so one that joins gets nothing for long, the more surely the more upstreams there are.

Change: in a tenth of the choices, a sampled upstream whose load isn't known is taken uncompared.

Measured: the new test of tests/routing/test_balancer.py failed before (0 of 500 choices) and passes.

--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -29,6 +29,11 @@
 _DEFAULT_UTILIZATION_RATIO = 0.5
 """Utilization assumed for an upstream without a recent load report."""
 
+_TRIAL_RATIO = 0.1
+"""Part of the choices in which a sampled upstream without a recent load report is taken
+uncompared. Its load is known then; else one that joins gets nothing while the others
+are used less than is assumed of it."""
+
 _DEFAULT_ONE_WAY_DELAY_S = 0.002
 """Network delay assumed towards a daemon whose delay hasn't been observed yet."""
 
@@ -294,6 +299,9 @@
             sampled = [u for u in upstreams if self._is_usable(u, excluded)]
         if not sampled:
             return None
+        unknown = [u for u in sampled if self._recent_load(u) is None]
+        if unknown and self._random.random() < _TRIAL_RATIO:
+            return unknown[0]
         return min(sampled, key=self._utilization)
 
     def _is_usable(
--- a/tests/routing/test_balancer.py
+++ b/tests/routing/test_balancer.py
@@ -161,3 +161,14 @@
     order_evacuation(fleet, 0, a=b"{}")
     order_evacuation(fleet, 1, a=b"")
     assert set(count_choices(balancer)) == {"a1", "a2"}
+
+
+async def test_an_upstream_whose_load_nobody_told_is_tried_though_others_have_room(
+    autojump_clock,
+):
+    hosts = {f"a{number}": "a" for number in range(10)}
+    _, balancer = make_balancer(hosts=hosts)
+    loads = {host: IDLE for host in hosts if host != "a9"}
+    chosen = count_choices(balancer, 500, loads)
+    # It isn't flooded neither: it may be cold.
+    assert 1 <= chosen["a9"] <= 20
