Routing: what drained doesn't exclude the next upstream on its host

Cause: a host whose upstream said that it drains is left out for 5 s by the incarnation of its daemon, which its next upstream shares.

Change: the exclusion holds for announcements up to the one that drained. A later one of the same host says that another run serves, and departures are final.

--- a/mangospoke/routing/ejection.py
+++ b/mangospoke/routing/ejection.py
@@ -78,6 +78,7 @@
         ejected_until: Time on trio's clock before which it isn't probed, in seconds.
         draining_until: Time on trio's clock before which it is assumed to be
             draining, in seconds.
+        draining_sequence: Number of the announcement of the run that is draining.
         trial_in_flight: Whether the trial request is running.
     """
 
@@ -88,6 +89,7 @@
     state: EjectionState = EjectionState.SERVING
     ejected_until: float = -math.inf
     draining_until: float = -math.inf
+    draining_sequence: int = -1
     trial_in_flight: bool = False
 
 
@@ -103,7 +105,7 @@
         health = self._health_by_host.get(upstream.host_id)
         if health is None or health.incarnation != upstream.incarnation:
             return True
-        if trio.current_time() < health.draining_until:
+        if _is_draining(upstream, health):
             return False
         if health.state is EjectionState.ON_TRIAL:
             return not health.trial_in_flight
@@ -151,11 +153,12 @@
         health = self._health_by_host.get(upstream.host_id)
         if health is None:
             return
-        draining_until = health.draining_until
         self._forget(upstream.host_id)
-        if trio.current_time() < draining_until:
+        if _is_draining(upstream, health):
             # Its last responses say nothing about when it leaves.
-            self._health_of(upstream).draining_until = draining_until
+            known = self._health_of(upstream)
+            known.draining_until = health.draining_until
+            known.draining_sequence = health.draining_sequence
 
     def _record_failure(self, upstream: UpstreamAnnounced, upstream_count: int) -> bool:
         health = self._health_of(upstream)
@@ -204,9 +207,10 @@
         """Records that an upstream refused a request, or said, that it is draining.
 
         This can arrive before the membership stream reports the drain, or while
-        that stream is unavailable.
+        that stream is unavailable. A later announcement of the host is of another run.
         """
         health = self._health_of(upstream)
+        health.draining_sequence = max(health.draining_sequence, upstream.sequence)
         health.draining_until = trio.current_time() + DRAINING_EXCLUSION_S
 
     def hosts_due_for_probe(self) -> list[HostId]:
@@ -247,6 +251,12 @@
         }
 
 
+def _is_draining(upstream: UpstreamAnnounced, health: _UpstreamHealth) -> bool:
+    """Whether the announced run of an upstream is the one that said it drains."""
+    is_same_run = upstream.sequence <= health.draining_sequence
+    return is_same_run and trio.current_time() < health.draining_until
+
+
 def _is_upstream_failure(outcome: Refused | Unanswered) -> bool:
     """Returns whether an outcome counts towards the upstream's ejection."""
     if isinstance(outcome, Refused):
--- a/tests/routing/test_ejection.py
+++ b/tests/routing/test_ejection.py
@@ -1,5 +1,6 @@
 """Ejection of failing upstreams up to a limit, and readmission after a probe."""
 
+import msgspec
 import pytest
 import trio
 
@@ -155,6 +156,20 @@
     assert fail(ejector, make_upstream(2), upstream_count=2)[-1]
 
 
+async def test_a_new_upstream_on_the_host_of_one_that_drains_is_not_excluded(
+    autojump_clock,
+):
+    ejector = Ejector()
+    upstream = make_upstream(1)
+    ejector.record_draining(upstream)
+    assert not ejector.may_send(upstream)
+    new = msgspec.structs.replace(upstream, sequence=2)
+    assert ejector.may_send(new)
+    # What was sent to the one before doesn't exclude it either.
+    ejector.record_draining(upstream)
+    assert ejector.may_send(new)
+
+
 async def test_a_late_success_does_not_end_the_exclusion_of_a_draining_upstream(
     autojump_clock,
 ):
