--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -22,6 +22,8 @@
 from mangospoke.guard.evacuation import EvacuationGate
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
+from mangospoke.guard.retry_arrivals import RetryArrivals
+from mangospoke.guard.retry_gate import RetryGate
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
@@ -45,7 +47,7 @@
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
-from mangospoke.routing.retries import FleetRetryBudget
+from mangospoke.routing.retries import UnlimitedRetryBudget
 from mangospoke.shutdown import Shutdown
 from mangospoke.state.evacuated_services import EvacuatedServices
 from mangospoke.state.fleet import Fleet
@@ -63,9 +65,6 @@
 """Parts of the allowed excess that are used. The rest covers an account's previous home
 that hasn't learned yet of the host that replaces it."""
 
-_RETRY_BUDGET_RATIO = 0.25
-"""Part of the fleet's retries that is used, since a retry repeats sub-calls too."""
-
 _MAX_REROUTES = 2
 _EVACUATION_NOTICE_RATIO = 0.15
 """Part of `evacuation_s` in which the upstream of an evacuated domain still gets
@@ -105,6 +104,7 @@
             guarantees.drain_s * _DRAIN_NOTICE_RATIO,
             adapts_limit=False,
         )
+        self._apply_cold_limits()
         self.evacuated_services = EvacuatedServices(
             self.fleet, hosted_settings.failure_domains
         )
@@ -149,12 +149,16 @@
         )
         self.control = PeerControlChannel(self.peers)
         self.quarantine = QuarantineController(
-            settings.host.id, self.fleet, self.control, self.guard.accepts_connections
+            settings.host.id,
+            domain,
+            self.fleet,
+            self.control,
+            self.guard.accepts_connections,
+            lambda: hosted_settings.upstream_service,
         )
         self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
         self.decisions.read_shutdown_status = shutdown.status
-        retries = guarantees.retries
         dispatcher = Dispatcher(
             settings.host.id,
             self.guard.execute,
@@ -162,11 +166,7 @@
             balancer,
             self.ejector,
             self.decisions,
-            FleetRetryBudget(
-                retries.min_retries * _RETRY_BUDGET_RATIO,
-                retries.window_s,
-                self._count_hosts,
-            ),
+            UnlimitedRetryBudget(),
             _MAX_REROUTES,
             shutdown,
         )
@@ -189,11 +189,21 @@
             balancer.downstream_delay_s,
             self.decisions,
             shutdown,
+            self.guard.executions,
         )
         callees = self.request_handler.callees
         self.guard.read_downstream_delay_s = lambda: callees.delay_s(
             balancer.delay_s, trio.current_time()
         )
+        self.guard.retry_gate = RetryGate(
+            RetryArrivals(guarantees.retries),
+            lambda: balancer.count_upstreams(hosted_settings.upstream_service),
+            lambda: bool(callees.services(trio.current_time())),
+            lambda: any(
+                balancer.refuses_retries(service)
+                for service in callees.services(trio.current_time())
+            ),
+        )
         self.handle_heartbeat = platform.heartbeat_handler(self.registrar)
         self.connections = ConnectionContext(
             settings.limits,
@@ -228,6 +238,7 @@
         self.freshness.max_age_s = (
             hosted_settings.guarantees.withdrawal_s * _FRESHNESS_RATIO
         )
+        self._apply_cold_limits()
         needs_restart = (
             replace(previous, guarantees=hosted_settings.guarantees) != hosted_settings
         )
@@ -248,8 +259,10 @@
         self.registrar.take_over(newest)
         self.registrar.check_written(newest, sent_at, era)
 
-    def _count_hosts(self) -> int:
-        return len(self.directory)
+    def _apply_cold_limits(self) -> None:
+        limits = self.hosted_settings.guarantees.cold
+        self.guard.cold_starts.max_excess_ratio = limits.max_excess_ratio
+        self.guard.cold_starts.max_excess_requests = limits.max_excess_requests
 
     def _make_homes(self) -> HomeDirectory:
         rates = self.hosted_settings.guarantees.rates
@@ -292,6 +305,8 @@
             "rates": self.rates.run,
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
+            "cold starts": self.guard.cold_starts.run,
+            "suspects": self.quarantine.run,
             "evacuation": self.evacuation_gate.run,
             "hang-up monitor": self.connections.hang_ups.run,
             "log": self._log.sink.run,
--- a/mangospoke/ingress/hosted.py
+++ b/mangospoke/ingress/hosted.py
@@ -8,13 +8,14 @@
 
 import trio
 
-from mangospoke.calls import Call, RetryAllowance
+from mangospoke.calls import Call, Repetition, RetryAllowance
 from mangospoke.conf.declarations import Access
 from mangospoke.conf.effective import (
     EffectiveAccount,
     EffectiveConfiguration,
     EffectiveRoute,
 )
+from mangospoke.guard.executions import ExecutionRegistry, track_sub_call
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import ClientAccountId, KeyId, ServiceName
 from mangospoke.ingress.callees import Callees
@@ -53,6 +54,7 @@
         read_downstream_delay_s: Callable[[ServiceName], float],
         decisions: DecisionLog,
         shutdown: Shutdown,
+        executions: ExecutionRegistry | None = None,
     ) -> None:
         self._fleet = fleet
         self._freshness = freshness
@@ -64,6 +66,7 @@
         self._read_downstream_delay_s = read_downstream_delay_s
         self._decisions = decisions
         self._shutdown = shutdown
+        self._executions = executions if executions is not None else ExecutionRegistry()
         self._splitter = TrafficSplitter()
         self._shedder = RootRequestShedder()
         self._random = random.Random()
@@ -98,6 +101,9 @@
         request.request_id = call.request_id
         if call.is_sub_call:
             self.callees.record_call(service, trio.current_time())
+            parent = self._executions.find_by_request_id(call.parent_id)
+            if parent is not None and parent.call.repetition is not Repetition.NONE:
+                call.repetition = Repetition.INHERITED
         else:
             # Before a token is taken: it may have come from another host.
             overload_refusal = self._refuse_if_overloaded(call)
@@ -107,6 +113,10 @@
             quota_refusal = await self._take_token(request, fields, service, account)
             if quota_refusal is not None:
                 return self._refuse(quota_refusal, fields, account.account_id, service)
+        if call.is_sub_call:
+            with track_sub_call(self._executions, call.parent_id) as sub_call:
+                sub_call.outcome = await self._dispatcher.dispatch_and_record(call)
+            return sub_call.outcome
         outcome = await self._dispatcher.dispatch_and_record(call)
         if isinstance(outcome, Refused):
             self._return_unused_token(account)
--- a/mangospoke/platform/headers.py
+++ b/mangospoke/platform/headers.py
@@ -5,6 +5,7 @@
     ResponseMetadata,
     UpstreamDialect,
     UpstreamReport,
+    read_cold_left_s,
     read_rate_limit,
     remaining_ms,
 )
@@ -13,6 +14,7 @@
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import ExecutionToken, InstanceId, RequestId, ServiceName
 from mangospoke.ingress.dialect import CallerDialect, CallerFields
+from mangospoke.numbers import parse_whole_number
 from mangospoke.platform.configuration import digest_key
 from mangospoke.verdicts import (
     RULES_BY_REFUSAL,
@@ -38,6 +40,8 @@
 _SERVER_LOAD = b"server-load"
 _SERVER_LIMIT = b"server-limit"
 _SERVER_LEAVING = b"server-leaving"
+_COLD_MS = b"cold-ms"
+_INSTANCE = b"instance-id"
 _KEEP_ALIVE = b"keep-alive"
 
 _RESERVED = frozenset(
@@ -46,7 +50,10 @@
 _NOT_FORWARDED = fields.HOP_BY_HOP | _RESERVED
 
 _MISDIRECTED_STATUS = 421
-_SERVER_LOAD_VALUES = 3
+_SERVER_LOAD_COUNTS = 3
+_MAX_SLOWNESS_PERCENT = 100_000
+"""Larger numbers aren't believed."""
+
 
 _NOT_EXECUTED_STATUS = 503
 """Guarantees that the request was not executed; 502 and 504 guarantee nothing."""
@@ -62,17 +69,22 @@
 def _read_fields(request: HttpRequest) -> CallerFields:
     by_name = dict(request.headers)
     request_id = by_name.get(_REQUEST_ID)
-    timeout_ms = by_name.get(_TIMEOUT, b"")
     key = by_name.get(_KEY)
     return CallerFields(
         host=by_name.get(b"host", b"").decode("latin-1"),
         request_id=RequestId(request_id.decode("latin-1")) if request_id else None,
-        timeout_s=int(timeout_ms) / 1000 if timeout_ms.isdigit() else None,
+        timeout_s=_parse_ms(by_name.get(_TIMEOUT, b"")),
         key_id=digest_key(key) if key is not None else None,
         parent_id=_parse_parent_id(request_id or b""),
     )
 
 
+def _parse_ms(value: bytes) -> float | None:
+    """Parses whole milliseconds into seconds."""
+    milliseconds = parse_whole_number(value)
+    return milliseconds / 1000 if milliseconds is not None else None
+
+
 def _parse_parent_id(request_id: bytes) -> RequestId:
     """Returns the id before the last point.
 
@@ -134,6 +146,7 @@
 def _read_metadata(response: HttpResponse) -> ResponseMetadata:
     by_name = dict(response.headers)
     is_success = 200 <= response.status < 300
+    instance = by_name.get(_INSTANCE)
     return ResponseMetadata(
         request_id=by_name.get(_REQUEST_ID),
         not_run=_NOT_EXECUTED in by_name,
@@ -143,16 +156,34 @@
         idle_timeout_s=_parse_idle_timeout_s(by_name.get(_KEEP_ALIVE)),
         rate_limit=read_rate_limit(response.headers, _SERVER_LIMIT),
         is_leaving=by_name.get(_SERVER_LEAVING) == b"1",
+        cold_left_s=read_cold_left_s(by_name.get(_COLD_MS)),
+        instance=None if instance is None else InstanceId(instance.decode("latin-1")),
     )
 
 
 def _parse_server_load(value: bytes | None) -> UpstreamReport | None:
-    """Parses the comma-separated counts of running requests, waiting ones and slots."""
+    """Parses the comma-separated load of an upstream.
+
+    The values are the counts of running requests, of waiting ones and of slots. Some
+    upstreams add the slowness of their machine in percent. Values after these are
+    ignored.
+    """
     parts = value.split(b",") if value is not None else []
-    numbers = [int(part) for part in parts if part.strip().isdigit()]
-    if len(numbers) != _SERVER_LOAD_VALUES:
+    counts = [parse_whole_number(part.strip()) for part in parts[:_SERVER_LOAD_COUNTS]]
+    if len(counts) < _SERVER_LOAD_COUNTS or None in counts:
         return None
-    return UpstreamReport(*numbers)
+    running, waiting, slots = (count or 0 for count in counts)
+    return UpstreamReport(running, waiting, slots, _parse_slowness(parts))
+
+
+def _parse_slowness(parts: list[bytes]) -> float:
+    """Returns how many times longer than usual work takes on the machine now."""
+    if len(parts) <= _SERVER_LOAD_COUNTS:
+        return 1.0
+    percent = parse_whole_number(parts[_SERVER_LOAD_COUNTS].strip())
+    if not percent or percent > _MAX_SLOWNESS_PERCENT:
+        return 1.0
+    return percent / 100
 
 
 def _parse_idle_timeout_s(value: bytes | None) -> float | None:
@@ -160,8 +191,7 @@
     if value is None:
         return None
     _, _, value_tail = value.partition(b"timeout=")
-    digits = value_tail.partition(b",")[0].strip()
-    return float(digits) if digits.isdigit() else None
+    return parse_whole_number(value_tail.partition(b",")[0].strip())
 
 
 UPSTREAM_DIALECT = UpstreamDialect(
--- a/mangospoke/platform/heartbeats.py
+++ b/mangospoke/platform/heartbeats.py
@@ -1,12 +1,15 @@
 """Handles heartbeats of this host's upstream, sent to the `control` address."""
 
+from typing import Annotated
+
 import msgspec
 from loguru import logger
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import FailureDomainId, InstanceId, ServiceName
+from mangospoke.numbers import MAX_WHOLE_NUMBER
 from mangospoke.platform.bounds import parse_duration_ms
 from mangospoke.state.heartbeats import Heartbeat, HeartbeatReceiver, HeartbeatState
 
@@ -16,6 +19,10 @@
     "ready": HeartbeatState.SERVING,
     "draining": HeartbeatState.DRAINING,
 }
+_MAX_COLD_LEFT_MS = 3_600_000
+"""Longer times are taken for this one."""
+_WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -23,7 +30,7 @@
     """What stays the same while an upstream runs."""
 
     service: str
-    slots: int
+    slots: _WholeNumber
     zone: str = ""
 
 
@@ -33,12 +40,12 @@
     Attributes:
         state: `ready` or `draining`.
         seq: Number of the heartbeat within the process run.
-        cold_left: Remaining warm-up time, as a duration.
+        cold_left: Remaining warm-up time, as a duration; None if not reported.
     """
 
     state: str
-    seq: int
-    cold_left: str = "0ms"
+    seq: _WholeNumber
+    cold_left: str | None = None
 
 
 class _HeartbeatBody(Struct, frozen=True):
@@ -52,7 +59,7 @@
     address: str
     info: _UpstreamInfo
     status: _UpstreamStatus
-    born: int = 0
+    born: _WholeNumber = 0
 
 
 class HeartbeatRequestHandler:
@@ -102,8 +109,8 @@
             state=_STATES_BY_NAME[body.status.state],
             started_at_ms=body.born,
             sequence=body.status.seq,
-            cold_left_ms=int(parse_duration_ms(body.status.cold_left)),
             failure_domain=FailureDomainId(body.info.zone),
+            cold_left_ms=_parse_cold_left_ms(body.status.cold_left),
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         logger.bind(event="heartbeat_unreadable", instance=instance).warning(
@@ -112,5 +119,11 @@
         return None
 
 
+def _parse_cold_left_ms(text: str | None) -> int | None:
+    if text is None:
+        return None
+    return int(min(parse_duration_ms(text), _MAX_COLD_LEFT_MS))
+
+
 def _build_response(status: int) -> HttpResponse:
     return HttpResponse(status, _JSON_HEADERS, buffered_body(b"{}"))
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -148,6 +148,7 @@
             self._drain(heartbeat)
         else:
             self._drain(heartbeat)
+        self._guard.process_heartbeat(heartbeat.instance, heartbeat.cold_left_ms)
         return True
 
     def _is_confirmed(self, heartbeat: Heartbeat) -> bool:
