An upstream that lost answers isn't tried for its unknown load

Cause: the trial of upstreams whose load isn't known would take those too that are passed over because they lost answers, since nothing is heard of them meanwhile. Change: such a trial needs that the upstream isn't a poor choice. Result: tests/routing passes, with a new test; tests/http/test_early_input.py passes.

--- a/mangospoke/routing/balancer.py
+++ b/mangospoke/routing/balancer.py
@@ -379,7 +379,11 @@
             sampled = [u for u in upstreams if self._is_usable(u, excluded)]
         if not sampled:
             return None
-        unknown = [u for u in sampled if self._recent_load(u) is None]
+        unknown = [
+            u
+            for u in sampled
+            if self._recent_load(u) is None and not self._is_poor(u, route)
+        ]
         if unknown and self._random.random() < _TRIAL_RATIO:
             return unknown[0]
         with_room = [u for u in sampled if self._utilization(u) < 1]
--- a/tests/http/test_early_input.py
+++ b/tests/http/test_early_input.py
@@ -23,9 +23,11 @@
 
 
 async def exchange(connection):
-    return await connection.exchange(
+    response = await connection.exchange(
         b"GET", b"/", [(b"host", b"x")], buffered_body(b""), 1_000
     )
+    connection.is_reusable()
+    return response
 
 
 async def open_pair():
--- a/tests/routing/test_expected_costs.py
+++ b/tests/routing/test_expected_costs.py
@@ -56,6 +56,17 @@
     assert count_choices(balancer, loads)["a1"] == 0
 
 
+async def test_one_that_lost_answers_is_not_tried_while_that_is_remembered(
+    autojump_clock,
+):
+    balancer = make_balancer({"a1": "a", "a2": "a", "a3": "a"})
+    for _ in range(20):
+        balancer.record_load("a1", tell(failure_percent=40), ROUTE)
+    await trio.sleep(1.5)
+    loads = {"a2": tell(), "a3": tell()}
+    assert count_choices(balancer, loads)["a1"] == 0
+
+
 async def test_a_domain_whose_upstreams_lose_answers_sends_elsewhere(autojump_clock):
     balancer = make_balancer({"a1": "a", "b1": "b"})
     loads = {"a1": tell(failure_percent=30), "b1": tell()}
