Bound what callers' connections hold by one budget

Cause: a hosted daemon bounded each request, but not what all callers hold: 600 bodies of legal size that stop short took it to 271 MB on a host that grants 200, and 300 at the ready address to 154 MB. A silent crowd kept new callers out (33 of 117 calls failed); heads of many fields and bodies of tiny chunks kept the event loop busy (p99 1.0 and 2.9 s); anyone could make a daemon hold 1 MiB for each peer connection.

Change: `http/held_bytes.py` decides: connections, received bytes, header fields and buffered responses draw on one budget, taken from the host's `memoryMb` and `maxFds`. When it runs low, the connection that holds most for longest without progress is closed, then requests of large holders are refused as not run, and a quarter is kept back for small ones. A connection whose request was handed on is never closed. Long heads and chunks are parsed in turns. Heartbeats, readiness and operators have a budget of their own; frames before a peer's handshake end at 4 KiB. Without limits in the settings all is unbounded as before, but for these two.

Not done: bytes in socket buffers aren't counted; loop lag and the time until memory is back weren't measured; a process that is really out of descriptors wasn't tried.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -10,6 +10,7 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
+import msgspec
 import trio
 from loguru import logger
 
@@ -26,6 +27,12 @@
 from mangospoke.guard.retry_gate import RetryGate
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
+from mangospoke.http.held_bytes import (
+    SERVICE_BODY_BYTES,
+    HeldBytes,
+    callers_capacity,
+    service_capacity,
+)
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.server import ConnectionContext
 from mangospoke.idle import WorkCounter
@@ -211,6 +218,20 @@
             HangUpMonitor(),
             self.decisions.record_undelivered,
             shutdown,
+            held_bytes=HeldBytes(
+                callers_capacity(
+                    hosted_settings.memory_mb, hosted_settings.max_descriptors
+                )
+            ),
+        )
+        self.service_connections = replace(
+            self.connections,
+            limits=msgspec.structs.replace(
+                settings.limits,
+                body_bytes=SERVICE_BODY_BYTES,
+                buffered_body_bytes=SERVICE_BODY_BYTES,
+            ),
+            held_bytes=HeldBytes(service_capacity()),
         )
         self.operations = OperationsRequestHandler(
             lambda: read_hosted_status(self),
--- a/mangospoke/daemon/hosted_run.py
+++ b/mangospoke/daemon/hosted_run.py
@@ -16,14 +16,15 @@
     watch_stop_signals,
 )
 from mangospoke.daemon.supervision import supervise, tune_garbage_collector
+from mangospoke.http.held_bytes import max_connections
 from mangospoke.http.listener import Acceptor, ConnectionHandler, open_listener
 from mangospoke.http.server import RequestHandler, make_connection_handler
 from mangospoke.observability.logs import EventLog, open_logs
 from mangospoke.peers.server import serve_peer
 from mangospoke.streams import Stream
 
-_MAX_CONNECTIONS = 1_500
-"""Maximum number of connections per listening address."""
+_CLOSING_MARGIN = 64
+"""Connections of one listener that may be ending while others take their place."""
 
 _NOT_READY_NOTICE_S = 2.2
 """Time in which the platform detects that the host is no longer ready."""
@@ -114,18 +115,22 @@
             daemon.control.respond,
         )
 
-    def http_handler(handler: RequestHandler) -> ConnectionHandler:
-        return make_connection_handler(handler, daemon.connections)
+    def service_handler(handler: RequestHandler) -> ConnectionHandler:
+        return make_connection_handler(handler, daemon.service_connections)
 
+    serve_caller = make_connection_handler(
+        daemon.request_handler.handle, daemon.connections
+    )
     handlers_by_address = {
-        hosted_settings.callers_address: http_handler(daemon.request_handler.handle),
-        hosted_settings.heartbeat_address: http_handler(daemon.handle_heartbeat),
-        hosted_settings.readiness_address: http_handler(daemon.answer_readiness),
+        hosted_settings.callers_address: serve_caller,
+        hosted_settings.heartbeat_address: service_handler(daemon.handle_heartbeat),
+        hosted_settings.readiness_address: service_handler(daemon.answer_readiness),
         daemon.settings.listen.peer: serve_peer_connection,
-        daemon.settings.listen.operations: http_handler(daemon.operations.handle),
+        daemon.settings.listen.operations: service_handler(daemon.operations.handle),
     }
+    own_limit = max_connections(hosted_settings.max_descriptors)
     return [
-        Acceptor(await open_listener(address), handler, _MAX_CONNECTIONS)
+        Acceptor(await open_listener(address), handler, own_limit + _CLOSING_MARGIN)
         for address, handler in handlers_by_address.items()
     ]
 
--- a/mangospoke/daemon/hosting.py
+++ b/mangospoke/daemon/hosting.py
@@ -5,6 +5,7 @@
 its description names it.
 """
 
+import math
 from dataclasses import dataclass
 
 from mangospoke.conf.settings import Settings
@@ -79,6 +80,8 @@
         upstream_service: Service that the upstream implements.
         guarantees: Guaranteed bounds.
         failure_domains: All failure domains, as declared to every host alike.
+        memory_mb: Memory that the host grants the process, in MB.
+        max_descriptors: File descriptors that the host grants the process.
     """
 
     settings: Settings
@@ -89,3 +92,5 @@
     upstream_service: ServiceName
     guarantees: Guarantees
     failure_domains: tuple[FailureDomainId, ...] = ()
+    memory_mb: float = math.inf
+    max_descriptors: float = math.inf
--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -86,6 +86,7 @@
         tokens=daemon.rates.statuses(),
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
+        callers=daemon.connections.held_bytes.status(),
         host_rewrites=daemon.registrar.rewrite_count,
         evacuations=_read_evacuations(daemon.fleet.evacuations),
         evacuated_services=tuple(daemon.evacuated_services.services),
--- a/mangospoke/http/reading.py
+++ b/mangospoke/http/reading.py
@@ -12,14 +12,19 @@
     buffered_body,
     streamed_body,
 )
+from mangospoke.http.held_bytes import FIELD_BYTES, MANY_FIELDS, Holder, Kind
 from mangospoke.http.messages import HttpRequest
 from mangospoke.http.pending_responses import PendingResponse
 from mangospoke.streams import Stream
 
+OVERLOADED_STATUS = 503
 HEAD_TOO_LARGE_STATUS = 431
 BODY_TOO_LARGE_STATUS = 413
 REQUEST_TIMEOUT_STATUS = 408
 
+_MAX_CHUNKS_PER_TURN = 64
+"""Chunks of a body that are parsed, in half a millisecond, before other tasks run."""
+
 
 class CallerDisconnectedError(Exception):
     """The caller closed its connection, went idle, or doesn't read its response."""
@@ -49,6 +54,10 @@
         received: Bytes that have been received after the previous request.
         previous: The response before this cycle's; None if there is none. Nothing is
             written before it is finished.
+        holder: Counts what the connection holds.
+
+    Attributes:
+        is_handed_on: Whether the request has been passed to its handler.
     """
 
     def __init__(
@@ -57,15 +66,22 @@
         limits: Limits,
         received: bytes = b"",
         previous: PendingResponse | None = None,
+        *,
+        holder: Holder,
     ) -> None:
         self.stream = stream
         self.limits = limits
+        self.is_handed_on = False
+        self._holder = holder
+        self._drawn_bytes = 0
+        self._head_lines = 0
         self._previous = previous
         self.http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
         if received:
-            self.http.receive_data(received)
+            self._draw(len(received))
+            self._pass_to_parser(received)
 
     def next(self, previous: PendingResponse | None) -> "RequestCycle":
         """Returns the cycle of the next request; this one has been read completely.
@@ -74,7 +90,9 @@
             previous: The response to the last request.
         """
         received = self.http.trailing_data[0]
-        return RequestCycle(self.stream, self.limits, received, previous)
+        return RequestCycle(
+            self.stream, self.limits, received, previous, holder=self._holder
+        )
 
     async def next_event(self) -> object:
         """Returns the next h11 event.
@@ -96,7 +114,8 @@
                 if await self._wait_for_turn_or_input():
                     await self._send_continue()
                 deadline = self.progress_deadline()
-            self.http.receive_data(await self._receive(deadline))
+            self._pass_to_parser(await self._receive(deadline))
+            await self.wait_to_parse_head()
 
     async def _wait_for_turn_or_input(self) -> bool:
         """Waits until this cycle may write or the caller sends; returns which.
@@ -117,6 +136,38 @@
             nursery.cancel_scope.cancel()
         return previous.finished.is_set()
 
+    def feed(self, content: bytes) -> None:
+        """Takes bytes that were received.
+
+        Raises:
+            BadRequestError: If callers hold too much.
+        """
+        self.hold(len(content))
+        self._pass_to_parser(content)
+
+    def _pass_to_parser(self, content: bytes) -> None:
+        if self.http.their_state is h11.IDLE:
+            head_end = content.find(b"\r\n\r\n")
+            end = head_end if head_end >= 0 else len(content)
+            self._head_lines += content.count(b"\n", 0, end)
+        self.http.receive_data(content)
+
+    async def wait_to_parse_head(self) -> None:
+        """Waits for the turn of a head with very many fields.
+
+        Raises:
+            BadRequestError: If too many of them wait.
+        """
+        if self._head_lines <= MANY_FIELDS or self.http.their_state is not h11.IDLE:
+            return
+        if not self._holder.budget.can_wait_to_parse():
+            raise BadRequestError(OVERLOADED_STATUS, "too many long heads")
+        await self._holder.budget.wait_to_parse()
+
+    async def wait_to_parse_chunks(self) -> None:
+        """Waits for the turn to parse further chunks of a body."""
+        await self._holder.budget.wait_to_parse()
+
     def progress_deadline(self) -> float:
         """Time on trio's clock by which the head or the next chunk must be complete."""
         return trio.current_time() + self.limits.head_timeout_ms / 1000
@@ -135,17 +186,41 @@
                 slow reader doesn't hold the resources of its response.
         """
         if self.stream.try_send(content):
+            self._holder.note_progress(len(content))
             return
         with trio.move_on_at(self.progress_deadline()):
             await self.stream.finish_send()
+            self._holder.note_progress(len(content))
             return
         raise CallerDisconnectedError
 
     async def _receive(self, deadline: float) -> bytes:
         with trio.move_on_at(deadline):
-            return await self.stream.receive_some()
+            content = await self.stream.receive_some()
+            self.hold(len(content))
+            return content
         raise BadRequestError(REQUEST_TIMEOUT_STATUS, "the request came too slowly")
 
+    def hold(self, size: int) -> None:
+        """Counts bytes that are held for the request.
+
+        Raises:
+            BadRequestError: If callers hold too much and the request hasn't been
+                handed on.
+        """
+        self._draw(size)
+        if not self.is_handed_on and not self._holder.may_hold_more():
+            raise BadRequestError(OVERLOADED_STATUS, "callers hold too much memory")
+
+    def _draw(self, size: int) -> None:
+        self._drawn_bytes += size
+        self._holder.draw(Kind.REQUEST, size)
+
+    def give_back(self) -> None:
+        """Gives back what is held for the request, when that has been passed on."""
+        self._holder.give_back(Kind.REQUEST, self._drawn_bytes)
+        self._drawn_bytes = 0
+
 
 async def read_request(
     cycle: RequestCycle, read_idle_since: Callable[[], float | None]
@@ -165,13 +240,16 @@
         content = await _wait_for_input(cycle, read_idle_since)
         if not content:
             return None
-        cycle.http.receive_data(content)
+        cycle.feed(content)
+    await cycle.wait_to_parse_head()
     event = await cycle.next_event()
     if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
         return None
     assert isinstance(event, h11.Request)
     _check_head_size(event, cycle.limits.head_bytes)
+    cycle.hold(FIELD_BYTES * len(event.headers))
     body = await _read_body(cycle, event)
+    cycle.is_handed_on = True
     return HttpRequest(event.method, event.target, list(event.headers), body)
 
 
@@ -215,18 +293,22 @@
         raise BadRequestError(BODY_TOO_LARGE_STATUS, "the body is too large")
     if length is not None and length > limits.buffered_body_bytes:
         return streamed_body(_body_chunks(cycle, []), length)
-    chunks: list[bytes] = []
-    size = 0
-    while size <= limits.buffered_body_bytes:
+    # Chunks of a byte each would cost forty times as much in a list.
+    content = bytearray()
+    chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
+    while len(content) <= limits.buffered_body_bytes:
         event = await cycle.next_event()
         if isinstance(event, h11.EndOfMessage):
-            return buffered_body(b"".join(chunks))
+            return buffered_body(bytes(content))
         if isinstance(event, h11.ConnectionClosed):
             raise CallerDisconnectedError
         assert isinstance(event, h11.Data)
-        chunks.append(bytes(event.data))
-        size += len(event.data)
-    return streamed_body(_body_chunks(cycle, chunks), None)
+        content += event.data
+        chunks_until_checkpoint -= 1
+        if not chunks_until_checkpoint:
+            await cycle.wait_to_parse_chunks()
+            chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
+    return streamed_body(_body_chunks(cycle, [bytes(content)]), None)
 
 
 def _content_length(head: h11.Request) -> int | None:
@@ -247,7 +329,14 @@
     for chunk in read_chunks:
         size += len(chunk)
         yield chunk
+    chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
     while True:
+        # What was read before has been passed on.
+        cycle.give_back()
+        chunks_until_checkpoint -= 1
+        if not chunks_until_checkpoint:
+            await cycle.wait_to_parse_chunks()
+            chunks_until_checkpoint = _MAX_CHUNKS_PER_TURN
         try:
             event = await cycle.next_event()
         except (
--- a/mangospoke/http/server.py
+++ b/mangospoke/http/server.py
@@ -22,6 +22,7 @@
     with_complete_body,
 )
 from mangospoke.http.delivery import UndeliveredResponse, ignore_undelivered
+from mangospoke.http.held_bytes import HeldBytes, Holder, Kind
 from mangospoke.http.listener import ConnectionHandler
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.pending_responses import (
@@ -70,6 +71,7 @@
             callers are interrupted by the dispatcher.
         closing: Counts the connections whose last response may still be on its way.
         held_bodies: Bounds the memory for bodies that are held back.
+        held_bytes: Bounds what all connections hold.
     """
 
     limits: Limits
@@ -79,6 +81,7 @@
     shutdown: Shutdown = field(default_factory=Shutdown)
     closing: WorkCounter = field(default_factory=WorkCounter)
     held_bodies: HeldBodyBudget = field(default_factory=HeldBodyBudget)
+    held_bytes: HeldBytes = field(default_factory=HeldBytes)
 
 
 def make_connection_handler(
@@ -100,9 +103,13 @@
     A caller that closes its sending side is treated as disconnected and its requests
     are cancelled, since TCP doesn't distinguish that from a half-closed connection.
     """
+    if not context.held_bytes.accepts_connection():
+        stream.close()
+        return
     connection = _ServerConnection(stream, handler, context)
     try:
-        await connection.serve()
+        with connection.holder:
+            await connection.serve()
         if connection.needs_lingering_close:
             with context.closing:
                 await _discard_input(connection.stream)
@@ -126,6 +133,7 @@
     Attributes:
         needs_lingering_close: Whether the caller may still be sending after the last
             response.
+        holder: Counts what this connection holds.
     """
 
     def __init__(
@@ -133,6 +141,8 @@
     ) -> None:
         self.stream = stream
         self.needs_lingering_close = False
+        self.holder = Holder(context.held_bytes, self._close)
+        self._scope = trio.CancelScope()
         self._handler = handler
         self._context = context
         self._last_response: PendingResponse | None = None
@@ -144,6 +154,15 @@
 
     async def serve(self) -> None:
         """Serves requests until either side ends the connection."""
+        with self._scope:
+            await self._serve()
+
+    def _close(self) -> None:
+        """Ends the connection, none of whose requests is being handled."""
+        self._set_cause(CancelCause.CONNECTION_CLOSED)
+        self._scope.cancel()
+
+    async def _serve(self) -> None:
         async with trio.open_nursery() as nursery:
             try:
                 await self._start_requests(nursery)
@@ -157,7 +176,7 @@
 
     async def _start_requests(self, nursery: trio.Nursery) -> None:
         """Reads and starts requests until no other can follow."""
-        cycle = RequestCycle(self.stream, self._context.limits)
+        cycle = RequestCycle(self.stream, self._context.limits, holder=self.holder)
         try:
             while await self._start_request(cycle, nursery):
                 cycle = cycle.next(self._last_response)
@@ -267,8 +286,7 @@
         """Serves one request; ends the connection if no other can follow."""
         try:
             with self._context.work:
-                response = await _run_handler(self._handler, request)
-                await self._deliver(cycle, request, response, pending_response)
+                await self._respond(cycle, request, pending_response)
         except (
             CallerDisconnectedError,
             trio.BrokenResourceError,
@@ -287,6 +305,33 @@
         self._set_cause(CancelCause.CONNECTION_CLOSED)
         connection_scope.cancel()
 
+    async def _respond(
+        self,
+        cycle: RequestCycle,
+        request: HttpRequest,
+        pending_response: PendingResponse,
+    ) -> None:
+        """Handles a request and writes its response."""
+        holder = self.holder
+        holder.handed_on += 1
+        is_handed_on = True
+        size = 0
+        try:
+            response = await _run_handler(self._handler, request)
+            content = response.body.content
+            if content is not None:
+                # The work is done; the upstream isn't needed any more.
+                holder.handed_on -= 1
+                is_handed_on = False
+                size = len(content)
+                holder.draw(Kind.RESPONSE, size)
+            await self._deliver(cycle, request, response, pending_response)
+        finally:
+            holder.handed_on -= is_handed_on
+            holder.give_back(Kind.RESPONSE, size)
+            cycle.give_back()
+            holder.mark_progress()
+
     async def _deliver(
         self,
         cycle: RequestCycle,
--- a/mangospoke/http/writing.py
+++ b/mangospoke/http/writing.py
@@ -8,6 +8,7 @@
 from mangospoke.http.reading import (
     BODY_TOO_LARGE_STATUS,
     HEAD_TOO_LARGE_STATUS,
+    OVERLOADED_STATUS,
     BadRequestError,
     RequestCycle,
 )
@@ -100,4 +101,6 @@
         return b"head-too-large"
     if status == BODY_TOO_LARGE_STATUS:
         return b"body-too-large"
+    if status == OVERLOADED_STATUS:
+        return b"memory-low"
     return b"bad-request"
--- a/mangospoke/observability/metrics.py
+++ b/mangospoke/observability/metrics.py
@@ -13,6 +13,7 @@
 from mangospoke.observability.lag import LoopLagMonitor
 from mangospoke.observability.latencies import BOUNDS_S, Histogram
 from mangospoke.observability.status import (
+    CallersStatus,
     DaemonStatus,
     OutcomeCount,
     StateStatus,
@@ -296,6 +297,7 @@
         [({}, status.proof_age_s)],
     )
     _add_eras(registry, status)
+    _add_callers(registry, status.callers)
     _add_evacuations(registry, status)
     _add_counter(
         registry,
@@ -320,6 +322,29 @@
     )
 
 
+def _add_callers(registry: Registry, callers: CallersStatus | None) -> None:
+    if callers is None:
+        return
+    _add_gauge(
+        registry,
+        "mangospoke_caller_connections",
+        "Open connections of callers.",
+        [({}, callers.connections)],
+    )
+    _add_gauge(
+        registry,
+        "mangospoke_held_bytes",
+        "Bytes that callers' connections hold, by what for.",
+        [({"kind": kind}, size) for kind, size in callers.held_bytes.items()],
+    )
+    _add_counter(
+        registry,
+        "mangospoke_turned_away_total",
+        "Connections closed and requests refused for want of room, by cause.",
+        [({"cause": cause}, count) for cause, count in callers.turned_away.items()],
+    )
+
+
 def _add_evacuations(registry: Registry, status: DaemonStatus) -> None:
     _add_gauge(
         registry,
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -165,6 +165,20 @@
     shed: int
 
 
+class CallersStatus(Struct, frozen=True):
+    """What callers' connections hold in a process.
+
+    Attributes:
+        connections: Number of open connections.
+        held_bytes: Bytes held, by what they are held for.
+        turned_away: Connections closed and requests refused for room, by cause.
+    """
+
+    connections: int
+    held_bytes: dict[str, int]
+    turned_away: dict[str, int]
+
+
 class EvacuationStatus(Struct, frozen=True):
     """A failure domain that is evacuated, or returns from an evacuation.
 
@@ -200,6 +214,7 @@
         log_calls: Calls to the log service since the daemon started.
         proof_age_s: Seconds since the active configuration was last confirmed as the
             newest; None where that isn't tracked.
+        callers: What callers' connections hold; None where that isn't bounded.
         evacuations: Failure domains that don't get their whole share of requests.
         evacuated_services: Services whose upstreams are all in evacuated domains.
     """
@@ -224,5 +239,6 @@
     tokens: tuple[TokenStatus, ...] = ()
     log_calls: tuple[LogCallCount, ...] = ()
     proof_age_s: float | None = None
+    callers: CallersStatus | None = None
     evacuations: tuple[EvacuationStatus, ...] = ()
     evacuated_services: tuple[ServiceName, ...] = ()
--- a/mangospoke/peers/framing.py
+++ b/mangospoke/peers/framing.py
@@ -25,9 +25,14 @@
 
 
 class FrameStream:
-    """Sends and receives frames on a connection between two daemons."""
+    """Sends and receives frames on a connection between two daemons.
 
-    def __init__(self, stream: Stream) -> None:
+    Attributes:
+        max_frame_bytes: Maximum size of a received frame.
+    """
+
+    def __init__(self, stream: Stream, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self.max_frame_bytes = max_frame_bytes
         self.stream = stream
         self._buffer = bytearray()
 
@@ -64,7 +69,7 @@
         if len(self._buffer) < _LENGTH_PREFIX.size:
             return None
         (length,) = _LENGTH_PREFIX.unpack_from(self._buffer)
-        if length > MAX_FRAME_BYTES:
+        if length > self.max_frame_bytes:
             raise PeerProtocolError(f"a frame of {length} bytes is too large")
         end = _LENGTH_PREFIX.size + length
         if len(self._buffer) < end:
--- a/mangospoke/peers/server.py
+++ b/mangospoke/peers/server.py
@@ -12,6 +12,7 @@
 from mangospoke.ids import RouteName
 from mangospoke.peers.bodies import received_body, send_chunks
 from mangospoke.peers.framing import (
+    MAX_FRAME_BYTES,
     FrameStream,
     PeerProtocolError,
     PeerUnavailableError,
@@ -37,6 +38,9 @@
 _LINGERING_CLOSE_S = 2.0
 """How long input is discarded after the last response, before the close."""
 
+_MAX_HANDSHAKE_FRAME_BYTES = 4_096
+"""Anyone may connect; only who has proved to be a peer may send large frames."""
+
 Executor = Callable[[Call], Awaitable[Outcome]]
 LoadReader = Callable[[RouteName], Load]
 """Returns the load that is told with the response to a call of a route."""
@@ -69,11 +73,12 @@
         context: State shared by all connections of this daemon.
         handle_control: Handles control requests.
     """
-    frames = FrameStream(stream)
+    frames = FrameStream(stream, _MAX_HANDSHAKE_FRAME_BYTES)
     stream.enable_keep_alive()
     try:
         with trio.fail_after(HANDSHAKE_TIMEOUT_S):
             await accept_handshake(frames, identity)
+        frames.max_frame_bytes = MAX_FRAME_BYTES
         while await _serve_next(frames, execute, read_load, context, handle_control):
             pass
         with context.closing:
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -1,9 +1,11 @@
 """Parses the platform's settings file and translates it into the product's settings."""
 
+import math
 import os
 from pathlib import Path
 
 import msgspec
+from loguru import logger
 from msgspec import Struct, field
 
 from mangospoke.conf.settings import (
@@ -23,6 +25,7 @@
 )
 from mangospoke.guard.retry_arrivals import RetryLimit
 from mangospoke.ids import FailureDomainId, HostId, ServiceName, SiteId
+from mangospoke.numbers import MAX_WHOLE_NUMBER
 from mangospoke.platform.bounds import Bounds
 
 SETTINGS_PATH_VARIABLE = "MANGOSPOKE_CONFIG"
@@ -74,6 +77,7 @@
         zones: Region of each failure domain.
         heartbeat: Heartbeat interval, as a duration; unused.
         bounds: Bounds that the platform's operators rely on, each `name=value`.
+        limits: What the host grants a process; `memoryMb` and `maxFds` are used.
     """
 
     node_name: str
@@ -88,6 +92,7 @@
     zones: dict[str, str] = field(default_factory=dict)
     heartbeat: str = "1500ms"
     bounds: list[str] = field(default_factory=list)
+    limits: dict[str, object] = field(default_factory=dict)
 
 
 def read_settings() -> HostedSettings:
@@ -109,9 +114,25 @@
         upstream_service=ServiceName(settings_file.service),
         guarantees=_build_guarantees(bounds),
         failure_domains=tuple(map(FailureDomainId, sorted(settings_file.zones))),
+        memory_mb=_read_limit(settings_file.limits, "memoryMb"),
+        max_descriptors=_read_limit(settings_file.limits, "maxFds"),
     )
 
 
+def _read_limit(limits: dict[str, object], name: str) -> float:
+    """Returns a limit of the host; infinity if it isn't a number above 0."""
+    value = limits.get(name)
+    if isinstance(value, int | float) and value > 0:
+        return float(min(value, MAX_WHOLE_NUMBER))
+    if value is not None:
+        logger.bind(event="limit_unreadable", limit=name).error(
+            "limit {} is {!r}, not a number above 0; nothing is bounded by it",
+            name,
+            value,
+        )
+    return math.inf
+
+
 def _build_settings(settings_file: _SettingsFile) -> Settings:
     def address(offset: int) -> str:
         return f"{settings_file.ip}:{settings_file.port_range[0] + offset}"
--- a/tests/observability/test_monitoring.py
+++ b/tests/observability/test_monitoring.py
@@ -10,6 +10,7 @@
 from mangospoke.ids import HostId, ServiceName
 from mangospoke.observability.metrics import render_metrics
 from mangospoke.observability.status import (
+    CallersStatus,
     EvacuationStatus,
     LogCallCount,
     OutcomeCount,
@@ -29,6 +30,7 @@
         proof_age_s=0.1,
         tokens=(TokenStatus("acme", 1.0, 1.0),),
         log_calls=(LogCallCount("/log-read", "200", 1),),
+        callers=CallersStatus(1, {"request": 1}, {"request-refused": 1}),
         evacuations=(EvacuationStatus("a", 0.0, 1.0),),
         evacuated_services=(ServiceName("s"),),
     )
--- a/tests/platform/hosted_fleet.py
+++ b/tests/platform/hosted_fleet.py
@@ -93,7 +93,15 @@
     """A daemon process and its addresses."""
 
     def __init__(
-        self, number, ip, upstream, store_address, directory, bounds=(), zone="a"
+        self,
+        number,
+        ip,
+        upstream,
+        store_address,
+        directory,
+        bounds=(),
+        zone="a",
+        limits=None,
     ):
         self.upstream = upstream
         self.outbound, self.inbound, self.ready, self.control = (
@@ -117,6 +125,7 @@
             "platform": {"address": store_address},
             "unknown": {"to": "us"},
             "bounds": list(bounds),
+            "limits": limits or {},
         }
         self.operations = f"{ip}:{PORT_RANGE[0] + 1}"
         path = Path(directory) / f"machine-{number}.json"
@@ -206,6 +215,7 @@
     make_upstream=Upstream,
     slots=10,
     bounds=(),
+    limits=None,
     zones=None,
     **settings,
 ):
@@ -218,6 +228,7 @@
         make_upstream: Makes the fake upstream of a service.
         slots: Requests that each upstream says it runs at once.
         bounds: The bounds in the settings files, each `name=value`.
+        limits: What the settings files say that a process may use.
         zones: Zone of the daemons that aren't in zone `a`, by service.
         settings: What else the configuration says.
     """
@@ -235,7 +246,7 @@
                 ip = network.host_ip(number)
                 zone = (zones or {}).get(service, "a")
                 daemon = HostedDaemonProcess(
-                    number, ip, upstream, address, directory, bounds, zone
+                    number, ip, upstream, address, directory, bounds, zone, limits
                 )
                 fleet.daemons_by_service[service] = daemon
                 daemon.start()
