--- a/mangospoke/daemon/status.py
+++ b/mangospoke/daemon/status.py
@@ -90,6 +90,7 @@
         tokens=daemon.rates.statuses(),
         log_calls=_count_log_calls(daemon.log_calls),
         proof_age_s=daemon.freshness.age_s(),
+        callers=daemon.connections.held_bytes.status(),
         host_rewrites=daemon.registrar.rewrite_count,
         silent_domains=tuple(daemon.reachability.silent_domains()),
         reachability_changes=daemon.reachability_watch.changes,
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -175,6 +175,20 @@
     shed: int
 
 
+class CallersStatus(Struct, frozen=True):
+    """What callers' connections hold in a process.
+
+    Attributes:
+        connections: Number of open connections.
+        held_bytes: Bytes held, by what they are held for.
+        turned_away: Connections closed and requests refused for room, by cause.
+    """
+
+    connections: int
+    held_bytes: dict[str, int]
+    turned_away: dict[str, int]
+
+
 class EvacuationStatus(Struct, frozen=True):
     """A failure domain that is evacuated, or returns from an evacuation.
 
@@ -213,6 +227,7 @@
         silent_domains: Other failure domains that nothing reaches from here; None where
             that isn't tracked.
         reachability_changes: Times that another domain fell silent or came back.
+        callers: What callers' connections hold; None where that isn't bounded.
         evacuations: Failure domains that don't get their whole share of requests.
         evacuated_services: Services whose upstreams are all in evacuated domains.
     """
@@ -239,5 +254,6 @@
     proof_age_s: float | None = None
     silent_domains: tuple[FailureDomainId, ...] | None = None
     reachability_changes: int = 0
+    callers: CallersStatus | None = None
     evacuations: tuple[EvacuationStatus, ...] = ()
     evacuated_services: tuple[ServiceName, ...] = ()
