Homes: a part of an account is held by one host at a time, under a lease

Cause: a home's role followed from each host's own list of hosts, and a successor began a second after it had learned of it (`_TAKEOVER_DELAY_NS`).

Change: what a host holds (a home's tokens, a domain's reserve) is a part with one holder. A lease of 12 s lives on the proof that the list of hosts is complete, by the boot clock; proofs pass on with the answers by which daemons follow each other. A part moves by a claim that its holder releases (with the tokens left), by the word of the next in line, by all others saying that they don't hold it, or by waiting out the lease. A host that leaves tells its successors; one that is no home any more names the home to ask. The hosts' topic is polled each 5 s in place of 10 s, the first two that read in the readers' place read it too, at once, and readers that are turned away follow them.

--- a/mangospoke/control/messages.py
+++ b/mangospoke/control/messages.py
@@ -179,6 +179,8 @@
         is_complete: Whether `records` has all hosts' records, as the sender's offset
             is of another era.
         records: Records of hosts from the sender's offset on.
+        hosts_age_ms: Milliseconds since the responder's records of hosts, up to its
+            offset, were last known to be all; negative if they never were.
     """
 
     configuration: GetConfigurationResponse
@@ -187,6 +189,7 @@
     next_offset: int
     is_complete: bool
     records: tuple[HostRecord, ...]
+    hosts_age_ms: float = -1.0
 
 
 class ShareMembership(Message, frozen=True, tag="share-membership"):
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -36,9 +36,11 @@
 from mangospoke.peers.control import PeerControlChannel
 from mangospoke.peers.handshake import Identity
 from mangospoke.rates.borrowing import BorrowedRates
-from mangospoke.rates.homes import Excess, HomeDirectory
+from mangospoke.rates.claiming import PartClaimer
+from mangospoke.rates.homes import HomeDirectory
 from mangospoke.rates.lending import LendingShares
-from mangospoke.rates.timing import read_clock
+from mangospoke.rates.named_homes import Excess
+from mangospoke.rates.timing import HOME_LEASE_NS, NS_PER_S, read_clock
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
@@ -80,7 +82,7 @@
         self.hosted_settings = hosted_settings
         self.settings: Settings = settings
         self.fleet = Fleet(settings.host.site)
-        self.directory = HostDirectory(self.fleet)
+        self.directory = HostDirectory(self.fleet, Freshness(HOME_LEASE_NS / NS_PER_S))
         self.freshness = Freshness(guarantees.withdrawal_s * _FRESHNESS_RATIO)
         self.log_calls = platform.log_calls
         self.log_era = platform.log.era
@@ -149,12 +151,19 @@
             shutdown,
         )
         self.homes = self._make_homes()
+        shares = LendingShares(self.homes.share_of, read_clock())
         self.rates = BorrowedRates(
+            settings.host.id, self.fleet, self.control, self.homes, shares
+        )
+        self.part_claimer = PartClaimer(
             settings.host.id,
             self.fleet,
             self.control,
             self.homes,
-            LendingShares(self.homes.share_of, read_clock()),
+            shares,
+            self.registrar.desired_record,
+            self.directory.handle_written,
+            read_clock,
         )
         self.request_handler = HostedRequestHandler(
             self.fleet,
@@ -231,6 +240,7 @@
                 rates.max_excess_requests * _EXCESS_REQUESTS_RATIO,
                 rates.window_s,
             ),
+            self.directory.freshness,
             read_clock,
             self.registrar.is_leaving,
         )
@@ -258,6 +268,7 @@
         return {
             **self.following.services_by_name(),
             "rates": self.rates.run,
+            "parts of rates": self.part_claimer.run,
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
             "hang-up monitor": self.connections.hang_ups.run,
--- a/mangospoke/logservice/keyed.py
+++ b/mangospoke/logservice/keyed.py
@@ -160,11 +160,13 @@
         self._lost_offset: int | None = None
         self._retry_delay_s = _MIN_RETRY_DELAY_S
         self._is_unavailable = False
+        self._is_resting = False
 
     async def run(self) -> None:
         """Reads the topic until cancelled."""
         while True:
             if self.next_offset is not None and not self.may_read():
+                self._is_resting = True
                 await trio.sleep(_PERMISSION_CHECK_INTERVAL_S)
                 continue
             try:
@@ -210,8 +212,9 @@
         if self.next_offset is None:
             self.newest_sent_at = trio.current_time()
             return await self._log.read_newest(self._topic)
-        # After a failure the state is wanted at once, not at the end of a wait.
-        wait_ms = 0 if self._is_unavailable else self._wait_ms
+        # After a failure or a rest the state is wanted at once, not after a wait.
+        is_late = self._is_unavailable or self._is_resting
+        wait_ms = 0 if is_late else self._wait_ms
         return await self._log.read(self._topic, self.next_offset, wait_ms)
 
     def _is_of_present_era(self, batch: KeyedBatch) -> bool:
@@ -253,6 +256,7 @@
 
     def _record_success(self) -> None:
         self._retry_delay_s = _MIN_RETRY_DELAY_S
+        self._is_resting = False
         if self._is_unavailable:
             self._is_unavailable = False
             logger.bind(event="log_regained", topic=self._topic).info(
--- a/mangospoke/rates/borrowing.py
+++ b/mangospoke/rates/borrowing.py
@@ -4,7 +4,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Sequence
 
 import trio
 from loguru import logger
@@ -86,6 +86,7 @@
         self._waiters_by_account: dict[ClientAccountId, deque[_Waiter]] = {}
         self._asking: set[ClientAccountId] = set()
         self._next_token_at_by_account: dict[ClientAccountId, float] = {}
+        self._home_instead_by_account: dict[ClientAccountId, HostId] = {}
         self._silent_until_by_host: dict[HostId, float] = {}
         control.handlers_by_type[BorrowTokens] = self._lend
         # After the directory of homes, which computes the shares.
@@ -192,9 +193,15 @@
             account_id: self._shares.next_token_s(accounts_by_id[account_id], now)
             for account_id in unlent & accounts_by_id.keys()
         }
+        homes = {
+            account_id: self._homes.home_instead(accounts_by_id[account_id])
+            for account_id, wait_s in waits_s.items()
+            if wait_s is None and not request.is_reserve
+        }
         return TokensLent(
             lent,
             {each: wait_s for each, wait_s in waits_s.items() if wait_s is not None},
+            {each: home for each, home in homes.items() if home is not None},
         )
 
     def statuses(self) -> tuple[TokenStatus, ...]:
@@ -258,8 +265,9 @@
         """Asks homes until the shortage is met; returns whether one lent something."""
         has_brought = False
         silent_count = 0
-        homes = self._homes.other_homes(account)
-        for host_id in homes[:_MAX_HOMES_ASKED]:
+        self._home_instead_by_account.pop(account.account_id, None)
+        homes = list(self._homes.named.other_homes(account)[:_MAX_HOMES_ASKED])
+        for host_id in self._with_homes_instead(account, homes):
             if silent_count == _MAX_SILENT_HOMES:
                 break
             lent = await self._ask(host_id, account, is_reserve=False)
@@ -271,11 +279,21 @@
                 return True
         return has_brought or await self._ask_reserves(account, silent_count > 0)
 
+    def _with_homes_instead(
+        self, account: EffectiveAccount, homes: Sequence[HostId]
+    ) -> Iterator[HostId]:
+        """Yields homes, and after each one the home that it names in its place."""
+        for host_id in homes:
+            yield host_id
+            instead = self._home_instead_by_account.pop(account.account_id, None)
+            if instead is not None and instead not in (*homes, self._host_id):
+                yield instead
+
     async def _ask_reserves(
         self, account: EffectiveAccount, has_silent_home: bool
     ) -> bool:
         """Asks the reserve of the own domain, and others if a home didn't answer."""
-        reserves = self._homes.reserves(account)
+        reserves = self._homes.named.reserves(account)
         max_asked = _MAX_RESERVES_ASKED if has_silent_home else 1
         for host_id in reserves[:max_asked]:
             if host_id == self._host_id:
@@ -305,7 +323,7 @@
         """Asks one host; returns whether it lent something, None if it is silent."""
         if self._silent_until_by_host.get(host_id, 0.0) > trio.current_time():
             return None
-        host = self._homes.host(host_id)
+        host = self._homes.named.host(host_id)
         wants = self._wants(account)
         if host is None or not wants:
             return False
@@ -323,6 +341,7 @@
             return None
         self._shares.borrow(answer.lent, asked_at)
         self._record_next_token(account, answer)
+        self._home_instead_by_account.update(answer.home_by_account)
         self._admit_waiters()
         return bool(answer.lent)
 
--- a/mangospoke/rates/homes.py
+++ b/mangospoke/rates/homes.py
@@ -1,58 +1,31 @@
-"""Homes of client accounts: the few hosts that hold an account's tokens.
-
-Load pattern: many accounts with small rates, whose requests enter at any of hundreds of
-hosts. If each host held an equal part, nearly all parts would be smaller than one
-token, and whoever is asked for tokens would have none. So an account has as few homes
-as its burst leaves some tokens for each, spread over the failure domains. All hosts
-find the homes by rendezvous hashing, without messages.
-
-The parts of the failure domains are fixed: what the homes of a domain that is cut off
-hold is theirs, and no other domain takes it over. Each domain also has a reserve for
-an account, on a host that is none of its homes. It holds a part of the excess that the
-rate allows, and serves hosts that reach no home.
+"""What this host holds of each account, as one of its homes or as a reserve.
+
+The list of hosts names the holders (`named_homes`). A host hands out tokens only of
+parts that it has come to hold (`held_parts`), and only while that list is proved to be
+current.
 """
 
-import random
-from collections.abc import Callable, Iterable, Sequence
+import math
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from mangospoke.conf.effective import EffectiveAccount
 from mangospoke.ids import ClientAccountId, FailureDomainId, HostId
-from mangospoke.logservice.records import UpstreamAnnounced, UpstreamState
-from mangospoke.rates.timing import NS_PER_S
+from mangospoke.rates.held_parts import HeldParts
+from mangospoke.rates.messages import AccountPart
+from mangospoke.rates.named_homes import Excess, NamedHomes
+from mangospoke.rates.timing import HOME_LEASE_NS, NS_PER_S
 from mangospoke.rates.units import MILLI
-from mangospoke.rendezvous import rendezvous_rank
 from mangospoke.state.fleet import Fleet
+from mangospoke.state.freshness import Freshness
 
 BORROWED_LIFETIME_S = 0.3
 """How long a borrowed token may be used, counted from the sending of the request."""
 
-_MIN_HOME_BURST = 5
-"""Burst per home, in requests: with less, one often lacks what another has left."""
-
-_MAX_HOME_RATE = 100
-"""Rate per home, in requests per second, which bounds the messages to one host."""
-
-_MIN_RESERVE = 2
-"""Requests per window that a domain's reserve must hold to be of use."""
-
-_TAKEOVER_DELAY_NS = NS_PER_S
-"""Time that a previous home has to learn that it is none any more."""
-
-
-@dataclass(frozen=True, slots=True)
-class Excess:
-    """How far the sum over all hosts may exceed an account's rate and burst.
-
-    Attributes:
-        ratio: Excess of the homes, as a fraction of rate and burst.
-        requests: Requests in each window that the reserves may admit in addition.
-        window_s: Length of that window, in seconds.
-    """
-
-    ratio: float = 0.0
-    requests: float = 0.0
-    window_s: float = 5.0
+_CONFIGURATION_DELAY_NS = NS_PER_S
+"""Time that other hosts have to learn of a configuration that changes who is a home."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +39,7 @@
             reserve.
         reserve_window_ns: Length of that window in nanoseconds.
         earning_since: Time in nanoseconds from which on the host may earn tokens.
+        reserve_since: Time in nanoseconds from which on it has the reserve.
     """
 
     rate: int = 0
@@ -73,13 +47,14 @@
     reserve: int = 0
     reserve_window_ns: int = 0
     earning_since: int = 0
+    reserve_since: int = 0
 
 
 _NO_SHARE = HeldShare()
 
 
 class HomeDirectory:
-    """One host's knowledge of every account's homes.
+    """One host's knowledge of every account's homes, and the parts that it holds.
 
     Args:
         fleet: The hosts that may be homes.
@@ -87,9 +62,16 @@
         domain: This host's failure domain.
         domains: All failure domains, as declared to every host alike.
         excess: How far the rates may be exceeded.
+        list_freshness: When the list of hosts was last proved complete.
         read_clock: Returns nanoseconds, as `timing.read_clock` does.
         is_leaving: Returns whether this host is about to be no home any more, which the
             other hosts learn from its record.
+
+    Attributes:
+        named: Whom the list of hosts names as homes and reserves.
+        parts: The parts that this host holds, and those that it has to claim.
+        listeners: Called when there are parts to claim, or this host begins to leave.
+        has_withdrawn: Whether this host has given up its parts because it leaves.
     """
 
     def __init__(
@@ -99,80 +81,182 @@
         domain: FailureDomainId,
         domains: Iterable[FailureDomainId],
         excess: Excess,
+        list_freshness: Freshness,
         read_clock: Callable[[], int],
         is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
+        self.named = NamedHomes(fleet, host_id, domain, domains, excess)
+        self.parts = HeldParts()
+        self.listeners: list[Callable[[], None]] = []
         self._fleet = fleet
         self._host_id = host_id
         self._domain = domain
-        self._declared_domains = frozenset((*domains, domain))
-        self._domains = self._declared_domains
         self._excess = excess
+        self._list_freshness = list_freshness
         self._read_clock = read_clock
         self._is_leaving = is_leaving
-        self._was_leaving = False
-        self._hosts_by_domain: dict[FailureDomainId, frozenset[HostId]] = {}
-        self._ranked_hosts: dict[
-            tuple[FailureDomainId, ClientAccountId], list[HostId]
-        ] = {}
+        self.has_withdrawn = False
+        self._had_lease = False
         self._share_by_account: dict[
             ClientAccountId, tuple[EffectiveAccount, HeldShare]
         ] = {}
-        self._earning_since = read_clock()
         self._home_count_by_account: dict[ClientAccountId, int] = {}
-        self._earning_since_by_account: dict[ClientAccountId, int] = {}
         fleet.configuration_listeners.append(self._on_configuration_change)
         fleet.membership_listeners.append(self._on_membership_change)
         if fleet.upstreams_by_host:
             self._on_membership_change()
 
+    def lease_end(self) -> int:
+        """Returns until when this host may hand out tokens, in nanoseconds."""
+        freshness = self._list_freshness
+        if math.isinf(freshness.confirmed_at):
+            return 0
+        return int((freshness.confirmed_at + freshness.max_age_s) * NS_PER_S)
+
     def _on_membership_change(self) -> None:
-        hosts_by_domain: dict[FailureDomainId, set[HostId]] = {}
-        for host_id, upstream in self._fleet.upstreams_by_host.items():
-            if upstream.state is not UpstreamState.DRAINING:
-                hosts_by_domain.setdefault(upstream.failure_domain, set()).add(host_id)
-        previous, self._hosts_by_domain = (
-            self._hosts_by_domain,
-            {domain: frozenset(hosts) for domain, hosts in hosts_by_domain.items()},
-        )
-        if self._hosts_by_domain == previous:
-            return
-        self._domains = self._declared_domains | self._hosts_by_domain.keys()
-        self._ranked_hosts.clear()
-        self._share_by_account.clear()
-        if self._is_takeover(previous.get(self._domain)):
-            self._earning_since = self._read_clock() + _TAKEOVER_DELAY_NS
+        self._update_parts(self._read_clock())
 
     def _on_configuration_change(self) -> None:
-        """Notes accounts whose number of homes changes, and with it who they are."""
+        """Holds the parts of which a configuration makes this host the holder."""
+        now = self._read_clock()
         previous, self._home_count_by_account = self._home_count_by_account, {}
         for account_id, account in self._fleet.configuration.accounts_by_id.items():
-            count = self._home_count(account)
+            count = self.named.home_count(account)
             self._home_count_by_account[account_id] = count
-            if previous.get(account_id, count) != count:
-                since = self._read_clock() + _TAKEOVER_DELAY_NS
-                self._earning_since_by_account[account_id] = since
+            if not previous or previous.get(account_id) == count:
+                continue
+            delay_ns = _CONFIGURATION_DELAY_NS if account_id in previous else 0
+            for part in self.named.parts_of(self._host_id, account):
+                is_held = part in self.parts.held_since_by_part
+                if not is_held and self._is_settled(part, now):
+                    self.parts.hold(part, now + delay_ns)
+        self._update_parts(now)
+
+    def _update_parts(self, now: int) -> None:
+        """Compares the parts that the list of hosts gives this host with those held."""
+        self.named.update(now, self.has_withdrawn)
+        named = {
+            part
+            for account in self._fleet.configuration.accounts_by_id.values()
+            for part in self.named.parts_of(self._host_id, account)
+        }
+        parts = self.parts
+        lease_end = self.lease_end()
+        known = parts.held_since_by_part.keys() | parts.wanted_since_by_part.keys()
+        for part in known - named:
+            parts.leave(part, now, lease_end)
+        for part in named:
+            parts.want(part, now)
+            if self._may_be_held_elsewhere(part, now, lease_end):
+                parts.want_again(part, now)
+        self._share_by_account.clear()
+        if parts.wanted_since_by_part:
+            self._notify()
 
-    def _is_takeover(self, previous: frozenset[HostId] | None) -> bool:
-        """Whether this host may take over shares from one that still holds them.
+    def _may_be_held_elsewhere(
+        self, part: AccountPart, now: int, lease_end: int
+    ) -> bool:
+        """Whether a host that was ahead in line for a moment may hold a part now.
 
-        A host that was listed when this process first read the list held its shares all
-        along, so that a restart takes over nothing.
+        While this host's lease lasts, only itself gives away what it holds.
+        """
+        if part in self.parts.held_since_by_part and now < lease_end:
+            return False
+        return self.named.changed_at(part) == now
+
+    def _is_settled(self, part: AccountPart, now: int) -> bool:
+        """Whether every holder of a lease sees this host in the same place in line."""
+        return self.named.changed_at(part) <= now - HOME_LEASE_NS
+
+    def _notify(self) -> None:
+        for listener in self.listeners:
+            listener()
+
+    def refresh(self) -> None:
+        """Applies what time has changed: leases that ended, and leaving or staying."""
+        now = self._read_clock()
+        is_leaving = self._is_leaving()
+        if is_leaving is not self.has_withdrawn:
+            self.has_withdrawn = is_leaving
+            self._update_parts(now)
+            self._notify()
+        has_lease = now < self.lease_end()
+        if has_lease is not self._had_lease:
+            self._had_lease = has_lease
+            self.parts.restart(now)
+            self._share_by_account.clear()
+            self._log_lease(has_lease)
+        if has_lease and self.parts.wanted_since_by_part:
+            waited_out = self.parts.hold_waited_out(now)
+            self._forget_shares(waited_out)
+
+    def _log_lease(self, has_lease: bool) -> None:
+        line = logger.bind(
+            event="homes_leased" if has_lease else "homes_lapsed",
+            proof_age_s=round(self._list_freshness.age_s(), 3),
+            parts=len(self.parts.held_since_by_part),
+        )
+        if has_lease:
+            line.info("the list of hosts is proved current; handing out tokens")
+        else:
+            line.warning("the list of hosts isn't proved current; lending no tokens")
+
+    def release(self, part: AccountPart) -> bool:
+        """Gives a part that this host held to the next holder, once."""
+        return self.parts.release(part, self._read_clock())
+
+    def vouches_for(self, claimant: HostId, part: AccountPart) -> bool:
+        """Whether nobody but a claimant can have held its part, as this host knows.
+
+        So it is if this host would have been the next one, for as long as any lease.
+        """
+        now = self._read_clock()
+        if now >= self.lease_end() or not self.named.is_next_in_line(part):
+            return False
+        return self.named.changed_at(part, claimant) <= now - HOME_LEASE_NS
+
+    def hosts_to_ask(self, part: AccountPart) -> tuple[list[HostId], list[HostId]]:
+        """Returns the hosts that likely hold a part, and all others that may."""
+        return self.named.others_to_ask(part, self._read_clock() - HOME_LEASE_NS)
+
+    def successors(self) -> set[HostId]:
+        """Returns the hosts that hold what this host held, now that it leaves."""
+        hosts = set()
+        for part in self.parts.freed():
+            near, _ = self.hosts_to_ask(part)
+            hosts.update(near)
+        return hosts
+
+    def hold(self, part: AccountPart) -> None:
+        """Holds a claimed part, unless the list of hosts names another by now."""
+        if part in self.parts.wanted_since_by_part:
+            self.parts.hold(part, self._read_clock())
+            self._forget_shares([part])
+
+    def knows_all_earlier_hosts(self) -> bool:
+        """Whether the list was proved complete after this host's record came into it.
+
+        Every other host is then in the list, or will find this host in its own.
         """
-        present = self._hosts_by_domain.get(self._domain, frozenset())
-        if previous is None:
-            return self._host_id not in present
-        return present != previous
+        confirmed_at = self._list_freshness.confirmed_at
+        return confirmed_at * NS_PER_S >= self.named.listed_at()
+
+    def home_instead(self, account: EffectiveAccount) -> HostId | None:
+        """Returns the home to ask in place of this host, or None if it is one."""
+        part = AccountPart(account.account_id, is_reserve=False)
+        if part in self.named.parts_of(self._host_id, account):
+            return None
+        return self.named.home_instead(account)
+
+    def _forget_shares(self, parts: Iterable[AccountPart]) -> None:
+        for part in parts:
+            self._share_by_account.pop(part.account_id, None)
 
     def share_of(self, account: EffectiveAccount) -> HeldShare:
         """Returns what this host holds of an account."""
-        if self._is_leaving():
-            self._was_leaving = True
+        self.refresh()
+        if not self._had_lease:
             return _NO_SHARE
-        if self._was_leaving:
-            self._was_leaving = False
-            self._share_by_account.clear()
-            self._earning_since = self._read_clock() + _TAKEOVER_DELAY_NS
         cached = self._share_by_account.get(account.account_id)
         if cached is not None and cached[0] is account:
             return cached[1]
@@ -181,26 +265,24 @@
         return share
 
     def _compute_share(self, account: EffectiveAccount) -> HeldShare:
-        rate, burst = self._home_share(account)
+        held_since = self.parts.held_since_by_part
+        home_since = held_since.get(AccountPart(account.account_id, False))
+        reserve_since = held_since.get(AccountPart(account.account_id, True))
+        rate, burst = (0, 0) if home_since is None else self._home_share(account)
         # What is lent may still be used after the window in which it was counted.
         window_s = self._excess.window_s + BORROWED_LIFETIME_S
         return HeldShare(
             rate,
             burst,
-            self._reserve_share(account),
+            0 if reserve_since is None else self._reserve_share(account),
             int(window_s * NS_PER_S),
-            max(
-                self._earning_since,
-                self._earning_since_by_account.get(account.account_id, 0),
-            ),
+            home_since or 0,
+            reserve_since or 0,
         )
 
     def _home_share(self, account: EffectiveAccount) -> tuple[int, int]:
-        domains = self._home_domains(account)
-        homes = self._homes_in(self._domain, account)
-        if self._domain not in domains or self._host_id not in homes:
-            return 0, 0
-        parts = len(domains) * len(homes)
+        domains = self.named.home_domains(account)
+        parts = len(domains) * len(self.named.homes_in(self._domain, account))
         rate = account.rate * (1 + self._excess.ratio)
         burst = account.burst * (1 + self._excess.ratio)
         # A home refills while what it lent may still be used elsewhere.
@@ -208,85 +290,4 @@
         return int(rate * MILLI / parts), int(burst * MILLI / parts)
 
     def _reserve_share(self, account: EffectiveAccount) -> int:
-        domains = self._reserve_domains(account)
-        if self._domain not in domains:
-            return 0
-        if self._reserve_in(self._domain, account) != self._host_id:
-            return 0
-        return int(self._excess.requests / len(domains))
-
-    def _home_count(self, account: EffectiveAccount) -> int:
-        by_burst = account.burst // _MIN_HOME_BURST
-        by_rate = min(account.rate // _MAX_HOME_RATE, account.burst)
-        return max(1, by_burst, by_rate)
-
-    def _rank_domains(self, account: EffectiveAccount) -> list[str]:
-        return rendezvous_rank(sorted(self._domains), account.account_id)
-
-    def _home_domains(self, account: EffectiveAccount) -> list[str]:
-        """Returns the failure domains that have homes of an account."""
-        return self._rank_domains(account)[: self._home_count(account)]
-
-    def _homes_in(
-        self, domain: FailureDomainId, account: EffectiveAccount
-    ) -> list[HostId]:
-        """Returns the hosts that are homes if their failure domain has any."""
-        per_domain = max(1, self._home_count(account) // len(self._domains))
-        return self._rank_hosts(domain, account.account_id)[:per_domain]
-
-    def _rank_hosts(
-        self, domain: FailureDomainId, account_id: ClientAccountId
-    ) -> list[HostId]:
-        key = (domain, account_id)
-        ranked = self._ranked_hosts.get(key)
-        if ranked is None:
-            hosts = self._hosts_by_domain.get(domain, frozenset())
-            ranked = [HostId(host) for host in rendezvous_rank(hosts, account_id)]
-            self._ranked_hosts[key] = ranked
-        return ranked
-
-    def _reserve_domains(self, account: EffectiveAccount) -> list[str]:
-        """Returns the failure domains that have a reserve of an account."""
-        max_count = int(self._excess.requests // _MIN_RESERVE)
-        return self._rank_domains(account)[:max_count]
-
-    def _reserve_in(
-        self, domain: FailureDomainId, account: EffectiveAccount
-    ) -> HostId | None:
-        """Returns the host that holds a failure domain's reserve if it has one."""
-        ranked = self._rank_hosts(domain, account.account_id)
-        if not ranked:
-            return None
-        has_homes = domain in self._home_domains(account)
-        home_count = len(self._homes_in(domain, account)) if has_homes else 0
-        return ranked[min(home_count, len(ranked) - 1)]
-
-    def reserves(self, account: EffectiveAccount) -> Sequence[HostId]:
-        """Returns the hosts with reserves, that of the own failure domain first."""
-        domains = self._reserve_domains(account)
-        random.shuffle(domains)
-        domains.sort(key=lambda domain: domain != self._domain)
-        hosts = [self._reserve_in(FailureDomainId(each), account) for each in domains]
-        return [host_id for host_id in hosts if host_id is not None]
-
-    def other_homes(self, account: EffectiveAccount) -> Sequence[HostId]:
-        """Returns the homes except this host, in the order in which to ask them.
-
-        One of the own failure domain comes first, if there is one. The others follow at
-        random, wherever they are: an account whose requests enter at one host needs the
-        tokens of all of them, and only a few are asked in one round.
-        """
-        near: list[HostId] = []
-        far: list[HostId] = []
-        for domain in self._home_domains(account):
-            homes = self._homes_in(FailureDomainId(domain), account)
-            others = [host_id for host_id in homes if host_id != self._host_id]
-            (near if domain == self._domain else far).extend(others)
-        random.shuffle(near)
-        others = near[1:] + far
-        random.shuffle(others)
-        return near[:1] + others
-
-    def host(self, host_id: HostId) -> UpstreamAnnounced | None:
-        """Returns a host's record, or None if it isn't known any more."""
-        return self._fleet.upstreams_by_host.get(host_id)
+        return int(self._excess.requests / len(self.named.reserve_domains(account)))
--- a/mangospoke/rates/lending.py
+++ b/mangospoke/rates/lending.py
@@ -49,6 +49,7 @@
         share: What this host holds of the account.
         bucket: The tokens of that share.
         reserve: Tokens of the allowed excess that this host may hand out.
+        left_milli: What was left of the tokens when this host ceased to be a home.
         borrowed: Expiry time and millitokens of each loan, oldest first.
         arrivals: Requests that arrived since `demand` was last updated.
         demand: Moving average of arrivals, in requests per second.
@@ -64,6 +65,7 @@
         "demand",
         "empty_rounds",
         "last_arrival",
+        "left_milli",
         "next_ask_at",
         "reserve",
         "share",
@@ -74,7 +76,8 @@
         self.share = share
         since = share.earning_since
         self.bucket = TokenBucket(since, share.rate, share.burst)
-        self.reserve = WindowAllowance(since, share.reserve, share.reserve_window_ns)
+        self.reserve = _make_reserve(share)
+        self.left_milli = 0
         self.borrowed: deque[tuple[int, int]] = deque()
         self.arrivals = 0
         self.demand = 0.0
@@ -85,18 +88,17 @@
 
     def change_share(self, share: HeldShare, now: int) -> None:
         """Holds another share from now on; a new home starts without tokens."""
-        since = share.earning_since
-        if self.share.rate:
+        before, self.share = self.share, share
+        if before.rate and not share.rate:
+            self.left_milli = self.bucket.level(now)
+        if before.rate and share.rate and before.earning_since == share.earning_since:
             self.bucket.resize(now, share.rate, share.burst)
         else:
-            self.bucket = TokenBucket(since, share.rate, share.burst)
-        if self.share.reserve:
+            self.bucket = TokenBucket(share.earning_since, share.rate, share.burst)
+        if before.reserve and before.reserve_since == share.reserve_since:
             self.reserve.count = share.reserve
         else:
-            self.reserve = WindowAllowance(
-                since, share.reserve, share.reserve_window_ns
-            )
-        self.share = share
+            self.reserve = _make_reserve(share)
 
     def borrowed_milli(self, now: int) -> int:
         """Returns the borrowed millitokens that have not expired."""
@@ -137,6 +139,10 @@
         return int(self.demand * _DEMAND_HORIZON_NS / NS_PER_S * MILLI)
 
 
+def _make_reserve(share: HeldShare) -> WindowAllowance:
+    return WindowAllowance(share.reserve_since, share.reserve, share.reserve_window_ns)
+
+
 class LendingShares:
     """This host's share and borrowed tokens of all accounts.
 
@@ -183,6 +189,21 @@
         """Returns the token of an admitted request that did not run."""
         self._current_state(account, now).bucket.add(now, MILLI)
 
+    def take_left(self, account_id: ClientAccountId) -> int:
+        """Takes out the millitokens that were left when this host ceased to be a home.
+
+        The next home gets them, once.
+        """
+        state = self._accounts_by_id.get(account_id)
+        if state is None:
+            return 0
+        left_milli, state.left_milli = state.left_milli, 0
+        return left_milli
+
+    def put(self, account: EffectiveAccount, milli: int, now: int) -> None:
+        """Adds the millitokens that an earlier home had left."""
+        self._current_state(account, now).bucket.add(now, milli)
+
     def may_ask(self, account_id: ClientAccountId, now: int) -> bool:
         """Whether other hosts may be asked for the account's tokens now."""
         return now >= self._accounts_by_id[account_id].next_ask_at
--- a/mangospoke/rates/messages.py
+++ b/mangospoke/rates/messages.py
@@ -188,7 +188,49 @@
     Attributes:
         next_token_s: Seconds until it earns a token of an account of which it has none
             to lend, by account.
+        home_by_account: The home to ask instead, of accounts of which the lending host
+            has just ceased to be one.
     """
 
     lent: tuple[TokenAmount, ...]
     next_token_s: dict[ClientAccountId, float] = {}
+    home_by_account: dict[ClientAccountId, HostId] = {}
+
+
+class AccountPart(Struct, frozen=True, array_like=True):
+    """A part of an account's tokens that one host at a time holds.
+
+    Each home of the account in a failure domain has a part of its own, all alike.
+
+    Attributes:
+        is_reserve: Whether it is the failure domain's reserve, not a home's part.
+    """
+
+    account_id: ClientAccountId
+    is_reserve: bool
+
+
+class ClaimParts(Message, frozen=True, tag="claim-parts"):
+    """Tells a host of the same failure domain the sender's record, and claims parts.
+
+    Attributes:
+        record: JSON of the sender's `UpstreamAnnounced`, which the receiver may not
+            have read yet.
+        parts: The parts; none if the sender only tells that it leaves.
+    """
+
+    record: bytes
+    parts: tuple[AccountPart, ...]
+
+
+class PartsClaimed(Message, frozen=True, tag="parts-claimed"):
+    """What a host says of claimed parts. Of others it knows a better claimant.
+
+    Attributes:
+        released: Parts that are the sender's from now on, and the millitokens that were
+            left. No other host holds them.
+        not_held: Parts that this host doesn't hold in the sender's place.
+    """
+
+    released: tuple[tuple[AccountPart, int], ...]
+    not_held: tuple[AccountPart, ...]
--- a/mangospoke/rates/timing.py
+++ b/mangospoke/rates/timing.py
@@ -37,6 +37,13 @@
 SILENCE_NS = 3 * NS_PER_S
 """A grantor that has not answered for this long is replaced."""
 
+HOME_LEASE_NS = 12 * NS_PER_S
+"""How long a home may hand out tokens after its list of hosts was proved complete.
+
+A proof is renewed each five seconds and takes a second to pass on. A lease outlives the
+proof by which keys are accepted, so that a log service that is away costs nothing more.
+"""
+
 
 def read_clock() -> int:
     """Returns nanoseconds since the host booted, including time suspended.
--- a/mangospoke/state/host_directory.py
+++ b/mangospoke/state/host_directory.py
@@ -1,5 +1,6 @@
 """The hosts of the fleet, as read from the keyed topic of host records."""
 
+import math
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -9,6 +10,7 @@
 from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.logservice.records import UpstreamAnnounced
 from mangospoke.state.fleet import Fleet
+from mangospoke.state.freshness import Freshness
 from mangospoke.state.membership import announcement_order
 
 
@@ -19,9 +21,11 @@
         era: Era of the log service that the records' offsets belong to.
         next_offset: Offset up to which all records of that era were processed.
         listeners: Called after records were processed.
+        freshness: When the records were last known to be all that there are.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, freshness: Freshness | None = None) -> None:
+        self.freshness = freshness or Freshness(math.inf)
         self.era: int | None = None
         self.next_offset = 0
         self.listeners: list[Callable[[], None]] = []
@@ -65,7 +69,7 @@
             listener()
 
     def handle_written(self, host: UpstreamAnnounced) -> None:
-        """Learns of a record that this host wrote, before it is read back.
+        """Learns of a record that this host, or one that told it, wrote.
 
         Until the topic was read once, it is left to that: a host that knows only itself
         would take itself for the only one.
--- a/mangospoke/state/keyed_following.py
+++ b/mangospoke/state/keyed_following.py
@@ -27,7 +27,9 @@
 """One is enough: its neighbours also hear from readers of other failure domains."""
 
 _CONFIGURATION_POLL_WAIT_MS = 1_000
-_HOSTS_POLL_WAIT_MS = 10_000
+_HOSTS_POLL_WAIT_MS = 5_000
+"""The leases of homes live on what such a poll proves, see `rates.timing`."""
+
 _HOSTS_BATCH_DELAY_S = 0.3
 
 
@@ -107,7 +109,12 @@
         )
         self.configuration_follower.handle_newest = self.configuration.handle_newest
         self.hosts_follower = KeyedFollower(
-            log, topics.hosts, self._handle_host_records, _HOSTS_POLL_WAIT_MS
+            log,
+            topics.hosts,
+            self._handle_host_records,
+            _HOSTS_POLL_WAIT_MS,
+            read_clock,
+            directory.freshness.confirm,
         )
         self.hosts_follower.handle_newest = self._check_written
         self.hosts_follower.batch_delay_s = _HOSTS_BATCH_DELAY_S
--- a/mangospoke/state/peer_following.py
+++ b/mangospoke/state/peer_following.py
@@ -80,12 +80,17 @@
 _START_S = 1.0
 """Time after the start in which other daemons needn't have told anything yet."""
 
+_MAX_READER_AGE_S = 6.0
+"""Age of the last proof that a reader's list of hosts is complete from which on it
+follows those that read in its place. It polls the list for five seconds."""
+
 _SUBSTITUTES_PER_DOMAIN = 2
 _SUBSTITUTE_S = 10.0
 """Time for which the first daemons that began to read in the readers' place go on."""
 
 _HOSTS_SILENCE_RATIO = 3.0
-"""The same for the hosts' records, which are less urgent, as a multiple."""
+"""The same for the hosts' records, which are less urgent, as a multiple. The first that
+read in the readers' place read them too, since the leases of homes live on that."""
 
 _MIN_LOG_RETRY_DELAY_S = 2.0
 _MAX_LOG_RETRY_DELAY_S = 4.0
@@ -163,11 +168,14 @@
 
     def reads_hosts(self) -> bool:
         """Whether this daemon reads the hosts' records from the log service now."""
-        if self._topology.is_reader():
+        if self._topology.is_reader() or self._is_first_substitute():
             return True
         silence_s = self._read_clock() - self._useful_at
         return silence_s > self._max_silence_s() * _HOSTS_SILENCE_RATIO
 
+    def _is_first_substitute(self) -> bool:
+        return self._is_substitute and self._rank() < _SUBSTITUTES_PER_DOMAIN
+
     def _max_silence_s(self) -> float:
         silence_s = _MIN_SILENCE_S + self._rank() * _SILENCE_PER_RANK_S
         return min(silence_s, self._last_silence_s)
@@ -201,8 +209,8 @@
     async def _follow_source(self, first_attempt: int) -> None:
         attempt = first_attempt
         while True:
-            address = self._topology.source(attempt)
-            if address is None or self._topology.is_reader():
+            address = self._source(attempt)
+            if address is None:
                 await trio.sleep(_ROLE_CHECK_INTERVAL_S)
             elif await self._follow(address, _WAIT_MS):
                 attempt = first_attempt
@@ -211,6 +219,14 @@
                 attempt += 1
                 await trio.sleep(_RETRY_DELAY_S * random.uniform(0.5, 1.5))
 
+    def _source(self, attempt: int) -> str | None:
+        """Returns whom to follow now; None if this daemon reads itself."""
+        if not self._topology.is_reader():
+            return self._topology.source(attempt)
+        if self._directory.freshness.age_s() < _MAX_READER_AGE_S:
+            return None
+        return self._topology.substitute(attempt % _SUBSTITUTES_PER_DOMAIN)
+
     async def _follow(self, address: str, wait_ms: int) -> bool:
         """Asks a daemon once; returns whether its answer was useful.
 
@@ -252,6 +268,11 @@
             self.handle_newest(records)
         if records or reply.is_complete:
             self._directory.handle_records(records, reply.era, reply.next_offset)
+        if reply.hosts_age_ms >= 0 and reply.era == self._directory.era:
+            # This daemon now has all records that the responder had.
+            self._directory.freshness.confirm(
+                asked_at + (reply.held_ms - reply.hosts_age_ms) / 1000
+            )
 
     async def _handle_question(self, question: FollowState) -> Message:
         asked_at = self._read_clock()
@@ -275,8 +296,13 @@
                 HostRecord(HostId(record.key), record.value, record.offset)
                 for record in records
             ),
+            hosts_age_ms=self._hosts_age_ms(),
         )
 
+    def _hosts_age_ms(self) -> float:
+        age_s = self._directory.freshness.age_s()
+        return -1.0 if math.isinf(age_s) else age_s * 1000
+
     def _has_news(self, question: FollowState, proof_at: float) -> bool:
         if self._is_of_later_era(question):
             return True
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -214,6 +214,10 @@
         """Whether this host's record says, or is about to say, that it drains."""
         return self._desired_record.state is UpstreamState.DRAINING
 
+    def desired_record(self) -> UpstreamAnnounced:
+        """Returns this host's record as it is, or is about to be, written."""
+        return self._desired_record
+
     def _set_desired_state(self, state: UpstreamState, slots: int) -> None:
         if self.stopping:
             state = UpstreamState.DRAINING
--- a/mangospoke/state/topology.py
+++ b/mangospoke/state/topology.py
@@ -127,6 +127,15 @@
             return self._ranked_addresses[(position - reader_count) // FANOUT]
         return self._ranked_addresses[self._random.randrange(position)]
 
+    def substitute(self, place: int) -> str | None:
+        """Control address of one that reads the log if the readers can't, or None.
+
+        Args:
+            place: Its place among the daemons that aren't readers, from 0.
+        """
+        others = self.ranked_addresses()[self.reader_count() :]
+        return others[place] if place < len(others) else None
+
     def remote_reader(self) -> str | None:
         """Control address of a random other failure domain's reader, or None."""
         self.ranked_addresses()
--- a/tests/state/test_peer_following.py
+++ b/tests/state/test_peer_following.py
@@ -4,6 +4,7 @@
 import trio
 
 from mangospoke.logservice.keyed import KeyedFollower
+from mangospoke.rates.timing import HOME_LEASE_NS, NS_PER_S
 from tests.state.following_fleet import (
     MAX_AGE_S,
     SILENT_TIMEOUT_S,
@@ -186,6 +187,31 @@
     assert fleet.stale_hosts() == ["a0"]
 
 
+@pytest.mark.parametrize("seed", range(3))
+async def test_the_list_of_hosts_stays_proved_when_all_readers_are_turned_away(
+    autojump_clock, make_fleet, seed
+):
+    fleet = make_fleet(75, seed=seed)
+    await trio.sleep(START_S)
+    readers = set(fleet.readers())
+    fleet.log.is_down_for = lambda host_id: host_id in readers
+    for _ in range(40):
+        await trio.sleep(0.5)
+        ages_s = [host.directory.freshness.age_s() for host in fleet.hosts()]
+        assert max(ages_s) < HOME_LEASE_NS / NS_PER_S
+
+
+async def test_the_list_of_hosts_is_not_proved_without_the_log_service(
+    autojump_clock, make_fleet
+):
+    fleet = make_fleet(32)
+    await trio.sleep(START_S)
+    fleet.log.is_down_for = lambda host_id: True
+    await trio.sleep(10)
+    ages_s = [host.directory.freshness.age_s() for host in fleet.hosts()]
+    assert min(ages_s) > 9
+
+
 async def test_other_content_of_the_same_version_reaches_followers(
     autojump_clock, make_fleet
 ):
