--- a/mangospoke/control/messages.py
+++ b/mangospoke/control/messages.py
@@ -4,12 +4,16 @@
 
 from mangospoke.ids import (
     ClientAccountId,
+    FailureDomainId,
     HostId,
     IdempotencyKey,
     Incarnation,
     ServiceName,
 )
 
+MAX_ERA = 2**62
+"""Later than any era of the log service."""
+
 
 class Message(Struct, frozen=True, array_like=True):
     """Base of control messages; the tag identifies the type on the wire."""
@@ -109,16 +113,33 @@
     busy: bool = False
 
 
+class EvacuationState(Struct, frozen=True, array_like=True):
+    """The evacuated failure domains, as of a state of the operator's topic.
+
+    Attributes:
+        era: Era of the log service that the offset belongs to.
+        offset: Offset up to which all orders are included.
+        domains: The evacuated domains.
+    """
+
+    era: int
+    offset: int
+    domains: tuple[FailureDomainId, ...]
+
+
 class GetConfiguration(Message, frozen=True, tag="ask-configuration"):
     """Asks a host for the version and the age of its configuration.
 
     Attributes:
         version: The sender's version.
         digest: Digest of the sender's content of that version; 0 if not told.
+        evacuations: Era and offset of the sender's `EvacuationState`; by default, one
+            that no state is later than.
     """
 
     version: int
     digest: int = 0
+    evacuations: tuple[int, int] = (MAX_ERA, 0)
 
 
 class GetConfigurationResponse(Message, frozen=True, tag="configuration-told"):
@@ -130,12 +151,15 @@
         content: The configuration as stored in the log service, if it is newer than
             the requester's, or another under the same version; otherwise None.
         digest: Digest of the responder's content; 0 if not told.
+        evacuations: The evacuated failure domains, if the responder knows a later
+            state of them than the requester.
     """
 
     version: int
     age_ms: float
     content: bytes | None = None
     digest: int = 0
+    evacuations: EvacuationState | None = None
 
 
 class HostRecord(Struct, frozen=True, array_like=True):
@@ -288,11 +312,13 @@
     Attributes:
         fingerprints: Fingerprints of the requests.
         death_id: Id of the crash, so that it is counted once.
+        is_trial: Whether the requests were on trial.
     """
 
     service: ServiceName
     fingerprints: tuple[str, ...]
     death_id: str
+    is_trial: bool = False
 
 
 class StartTrial(Message, frozen=True, tag="start-trial"):
@@ -308,10 +334,15 @@
 
 
 class StartTrialResponse(Message, frozen=True, tag="trial-answer"):
-    """Whether a suspect request may run, and the crashes that it is suspected of."""
+    """Whether a suspect request may run, and the crashes that it is suspected of.
+
+    Attributes:
+        trial_death_ids: Those crashes that happened while it was on trial.
+    """
 
     granted: bool
     death_ids: tuple[str, ...]
+    trial_death_ids: tuple[str, ...] = ()
 
 
 class EndTrial(Message, frozen=True, tag="end-trial"):
@@ -322,6 +353,62 @@
 
 
 class ClearSuspect(Message, frozen=True, tag="clear-suspect"):
-    """Clears a suspect or quarantined request."""
+    """Clears a suspect or quarantined request.
+
+    Attributes:
+        death_ids: The crashes that the sender knew of.
+    """
+
+    fingerprint: str
+    death_ids: tuple[str, ...] = ()
+
+
+class SuspectRecord(Struct, frozen=True, array_like=True):
+    """What a daemon knows of a suspect, quarantined or cleared request.
+
+    Attributes:
+        death_ids: Ids of the crashes of upstreams that were running it.
+        trial_death_ids: Those of them that happened while it was on trial.
+        cleared_death_ids: Those of which it has been cleared.
+        remaining_ms: Milliseconds after which it is forgotten.
+    """
 
     fingerprint: str
+    death_ids: tuple[str, ...]
+    trial_death_ids: tuple[str, ...]
+    cleared_death_ids: tuple[str, ...]
+    remaining_ms: float
+
+
+class ReadSuspects(Message, frozen=True, tag="read-suspects"):
+    """Reads what a daemon of a service knows of the service's suspects.
+
+    Attributes:
+        digest: Digest of what the sender knows; 0 to read all.
+        after: Fingerprint after which to begin.
+    """
+
+    service: ServiceName
+    digest: int = 0
+    after: str = ""
+
+
+class ReadSuspectsResponse(Message, frozen=True, tag="suspects-read"):
+    """A part of what a daemon knows of a service's suspects.
+
+    Attributes:
+        has_learned: Whether it knows what the service's daemons knew before it started.
+        records: In order of fingerprints; empty if the digests are equal.
+        is_last: Whether there are no more records.
+    """
+
+    has_learned: bool
+    records: tuple[SuspectRecord, ...] = ()
+    is_last: bool = True
+
+
+class ShareSuspects(Message, frozen=True, tag="share-suspects"):
+    """Tells a daemon of suspects, as an earlier report didn't reach it."""
+
+    service: ServiceName
+    records: tuple[SuspectRecord, ...]
--- a/mangospoke/observability/status.py
+++ b/mangospoke/observability/status.py
@@ -7,6 +7,7 @@
     FailureDomainId,
     HostId,
     Incarnation,
+    RouteName,
     ServiceName,
     SiteId,
 )
@@ -28,8 +29,16 @@
 
     Attributes:
         rate_limit: Requests a second that it says it takes; None if it names no limit.
-        limit_admitted: Requests admitted under such a limit since the daemon's start.
+        limit_admitted: Requests admitted under such a limit, or that of a cold
+            upstream, since the daemon's start.
         limit_refused: Requests refused because of it.
+        cold_left_s: Seconds for which it counts as cold; None while that is open.
+        cold_turns: Times that it turned cold since the daemon's start.
+        work_ms_by_route: Usual milliseconds of work of a call, without its sub-calls.
+        failure_ratio: Part of its recent calls that it failed.
+        slowness_ratio: How many times longer than usual work takes on its machine now.
+        retries_refused: Repeated requests refused since the daemon's start, because it
+            has got its part of the service's.
     """
 
     service: ServiceName
@@ -42,6 +51,12 @@
     rate_limit: float | None = None
     limit_admitted: int = 0
     limit_refused: int = 0
+    cold_left_s: float | None = 0.0
+    cold_turns: int = 0
+    work_ms_by_route: dict[RouteName, float] = {}
+    failure_ratio: float = 0.0
+    slowness_ratio: float = 1.0
+    retries_refused: int = 0
 
 
 class LogHealth(Struct, frozen=True):
@@ -160,6 +175,20 @@
     shed: int
 
 
+class EvacuationStatus(Struct, frozen=True):
+    """A failure domain that is evacuated, or returns from an evacuation.
+
+    Attributes:
+        share: Part of its usual requests that it may get, from 0 (evacuated) to 1.
+        age_s: Seconds since this host learned of the evacuation; None if it found it
+            at its start, or if it was taken back.
+    """
+
+    failure_domain: FailureDomainId
+    share: float
+    age_s: float | None
+
+
 class DaemonStatus(Struct, frozen=True, kw_only=True):
     """Status of a daemon.
 
@@ -181,6 +210,8 @@
         log_calls: Calls to the log service since the daemon started.
         proof_age_s: Seconds since the active configuration was last confirmed as the
             newest; None where that isn't tracked.
+        evacuations: Failure domains that don't get their whole share of requests.
+        evacuated_services: Services whose upstreams are all in evacuated domains.
     """
 
     host_id: HostId
@@ -203,3 +234,5 @@
     tokens: tuple[TokenStatus, ...] = ()
     log_calls: tuple[LogCallCount, ...] = ()
     proof_age_s: float | None = None
+    evacuations: tuple[EvacuationStatus, ...] = ()
+    evacuated_services: tuple[ServiceName, ...] = ()
--- a/mangospoke/platform/heartbeats.py
+++ b/mangospoke/platform/heartbeats.py
@@ -1,22 +1,28 @@
 """Handles heartbeats of this host's upstream, sent to the `control` address."""
 
-from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 from loguru import logger
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
-from mangospoke.ids import InstanceId, ServiceName
+from mangospoke.ids import FailureDomainId, InstanceId, ServiceName
+from mangospoke.numbers import MAX_WHOLE_NUMBER
 from mangospoke.platform.bounds import parse_duration_ms
-from mangospoke.state.registrar import Heartbeat, HeartbeatState
+from mangospoke.state.heartbeats import Heartbeat, HeartbeatReceiver, HeartbeatState
 
 _INSTANCES_PREFIX = "/instances/"
+_MAX_INSTANCE_LENGTH = 200
 _STATES_BY_NAME = {
     "ready": HeartbeatState.SERVING,
     "draining": HeartbeatState.DRAINING,
 }
+_MAX_COLD_LEFT_MS = 3_600_000
+"""Longer times are taken for this one."""
+_WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -24,7 +30,8 @@
     """What stays the same while an upstream runs."""
 
     service: str
-    slots: int
+    slots: _WholeNumber
+    zone: str = ""
 
 
 class _UpstreamStatus(Struct, frozen=True, rename="camel"):
@@ -33,12 +40,12 @@
     Attributes:
         state: `ready` or `draining`.
         seq: Number of the heartbeat within the process run.
-        cold_left: Remaining warm-up time, as a duration.
+        cold_left: Remaining warm-up time, as a duration; None if not reported.
     """
 
     state: str
-    seq: int
-    cold_left: str = "0ms"
+    seq: _WholeNumber
+    cold_left: str | None = None
 
 
 class _HeartbeatBody(Struct, frozen=True):
@@ -52,50 +59,37 @@
     address: str
     info: _UpstreamInfo
     status: _UpstreamStatus
-    born: int = 0
+    born: _WholeNumber = 0
 
 
 class HeartbeatRequestHandler:
     """Handles the upstream's heartbeat and deregistration requests.
 
-    The callback returns whether it accepted the heartbeat.
+    A departure is acknowledged once it is recorded, so that it binds the next daemon
+    on this host too.
     """
 
-    def __init__(self, on_heartbeat: Callable[[Heartbeat], bool]) -> None:
-        self._on_heartbeat = on_heartbeat
-        self._last_heartbeat: Heartbeat | None = None
+    def __init__(self, receiver: HeartbeatReceiver) -> None:
+        self._receiver = receiver
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handles `PUT /instances/ID` and `DELETE /instances/ID`."""
         instance = InstanceId(request.path.removeprefix(_INSTANCES_PREFIX))
-        if not request.path.startswith(_INSTANCES_PREFIX) or not instance:
+        is_instance = 0 < len(instance) <= _MAX_INSTANCE_LENGTH
+        if not request.path.startswith(_INSTANCES_PREFIX) or not is_instance:
             return _build_response(404)
         if request.method == b"DELETE":
-            return self._handle_deregistration(instance)
+            self._receiver.handle_deregistration(instance)
+            await self._receiver.wait_recorded()
+            return _build_response(200)
         if request.method != b"PUT":
             return _build_response(405)
         heartbeat = _parse_heartbeat(instance, request.body.content or b"")
         if heartbeat is None:
             return _build_response(400)
-        if self._on_heartbeat(heartbeat):
-            self._last_heartbeat = heartbeat
-        return _build_response(200)
-
-    def _handle_deregistration(self, instance: InstanceId) -> HttpResponse:
-        last_heartbeat = self._last_heartbeat
-        if last_heartbeat is not None and last_heartbeat.instance == instance:
-            self._on_heartbeat(
-                Heartbeat(
-                    instance=instance,
-                    service=last_heartbeat.service,
-                    address=last_heartbeat.address,
-                    slots=last_heartbeat.slots,
-                    state=HeartbeatState.LEAVING,
-                    started_at_ms=last_heartbeat.started_at_ms,
-                    sequence=last_heartbeat.sequence + 1,
-                    cold_left_ms=0,
-                )
-            )
+        self._receiver.handle_heartbeat(heartbeat)
+        if heartbeat.state is not HeartbeatState.SERVING:
+            await self._receiver.wait_recorded()
         return _build_response(200)
 
 
@@ -115,7 +109,8 @@
             state=_STATES_BY_NAME[body.status.state],
             started_at_ms=body.born,
             sequence=body.status.seq,
-            cold_left_ms=int(parse_duration_ms(body.status.cold_left)),
+            failure_domain=FailureDomainId(body.info.zone),
+            cold_left_ms=_parse_cold_left_ms(body.status.cold_left),
         )
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
         logger.bind(event="heartbeat_unreadable", instance=instance).warning(
@@ -124,5 +119,11 @@
         return None
 
 
+def _parse_cold_left_ms(text: str | None) -> int | None:
+    if text is None:
+        return None
+    return int(min(parse_duration_ms(text), _MAX_COLD_LEFT_MS))
+
+
 def _build_response(status: int) -> HttpResponse:
     return HttpResponse(status, _JSON_HEADERS, buffered_body(b"{}"))
--- a/mangospoke/platform/program.py
+++ b/mangospoke/platform/program.py
@@ -26,13 +26,14 @@
         log=log,
         log_calls=log.transport,
         topics=KeyedTopics(
-            store.CONFIGURATION_TOPIC, store.CONFIGURATION_KEY, store.HOSTS_TOPIC
+            store.CONFIGURATION_TOPIC,
+            store.CONFIGURATION_KEY,
+            store.HOSTS_TOPIC,
+            store.EVACUATION_PREFIX,
         ),
         read_configuration=read_configuration,
         caller_dialect=CALLER_DIALECT,
         upstream_dialect=UPSTREAM_DIALECT,
-        heartbeat_handler=lambda on_heartbeat: (
-            HeartbeatRequestHandler(on_heartbeat).handle
-        ),
+        heartbeat_handler=lambda receiver: HeartbeatRequestHandler(receiver).handle,
         read_hosted_settings=read_settings,
     )
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -16,11 +16,12 @@
     Settings,
 )
 from mangospoke.daemon.hosting import (
-    FleetRetryLimit,
+    ColdExcessLimits,
     Guarantees,
     HostedSettings,
     RateExcessLimits,
 )
+from mangospoke.guard.retry_arrivals import RetryLimit
 from mangospoke.ids import FailureDomainId, HostId, ServiceName, SiteId
 from mangospoke.platform.bounds import Bounds
 
@@ -141,13 +142,19 @@
         withdrawal_s=bounds.duration_s("revoke", 5.0),
         drain_s=bounds.duration_s("drain", 2.0),
         stop_s=bounds.duration_s("grace", 6.0),
-        retries=FleetRetryLimit(
+        retries=RetryLimit(
             window_s=bounds.duration_s("budgetWindow", 10.0),
             min_retries=bounds.number("budgetSlack", 0.0),
+            max_ratio=bounds.number("retryBudget", 0.0),
         ),
         rates=RateExcessLimits(
             window_s=bounds.duration_s("quotaWindow", 5.0),
             max_excess_ratio=bounds.number("quotaOverage", 0.0),
             max_excess_requests=bounds.number("quotaSlack", 0.0),
         ),
+        cold=ColdExcessLimits(
+            max_excess_ratio=max(0.0, bounds.number("coldOverage", 1.0) - 1),
+            max_excess_requests=bounds.number("coldSlack", 0.0),
+        ),
+        evacuation_s=bounds.duration_s("evac", 5.0),
     )
