Homes: a host takes over what its earlier process held, after a crash

Cause: after a power loss of all hosts each home waited 12 s for the lease of hosts that stayed silent; nothing was served meanwhile. Change: a process that had been listed for 20 s and ended without leaving was named by all lists until its end, so its parts are taken over at once if no host ahead in line leaves.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -40,6 +40,7 @@
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.ingress.hosted import HostedRequestHandler
 from mangospoke.logservice.keyed import KeyedRecord
+from mangospoke.logservice.records import UpstreamState
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.observability.lag import LoopLagMonitor
 from mangospoke.observability.logs import EventLog
@@ -64,7 +65,7 @@
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.heartbeats import make_heartbeat_check
-from mangospoke.state.host_directory import HostDirectory
+from mangospoke.state.host_directory import HostDirectory, find_host
 from mangospoke.state.keyed_following import KeyedFollowing
 from mangospoke.state.registrar import HostRegistrar
 
@@ -327,9 +328,19 @@
             or service in self.fleet.configuration.services_by_name
         )
 
+    def _resume_homes(self, newest: Sequence[KeyedRecord]) -> None:
+        """Takes over what the process before this one on this host held."""
+        stored = find_host(newest, self.settings.host.id)
+        own_incarnation = self.identity.incarnation
+        if stored is None or stored.daemon_incarnation >= own_incarnation:
+            return
+        if stored.state is not UpstreamState.DRAINING:
+            self.homes.resume((own_incarnation - stored.daemon_incarnation) / 1000)
+
     def _handle_stored_hosts(
         self, newest: Sequence[KeyedRecord], sent_at: float, era: int | None
     ) -> None:
+        self._resume_homes(newest)
         self.registrar.take_over(newest)
         self.registrar.check_written(newest, sent_at, era)
 
--- a/mangospoke/rates/homes.py
+++ b/mangospoke/rates/homes.py
@@ -52,6 +52,13 @@
 
 _NO_SHARE = HeldShare()
 
+_MIN_EARLIER_LIFETIME_S = 20.0
+"""How long an earlier process must have been listed for its parts to be taken over: as
+long as a lease of a host that hasn't heard of it, and the time to write its record."""
+
+_RESUMPTION_NS = 5 * NS_PER_S
+"""Time after a start in which parts are taken over, as the configuration arrives."""
+
 
 class HomeDirectory:
     """One host's knowledge of every account's homes, and the parts that it holds.
@@ -97,6 +104,7 @@
         self._is_leaving = is_leaving
         self.has_withdrawn = False
         self._had_lease = False
+        self._resumes_until = 0
         self._share_by_account: dict[
             ClientAccountId, tuple[EffectiveAccount, HeldShare]
         ] = {}
@@ -113,6 +121,19 @@
             return 0
         return int((freshness.confirmed_at + freshness.max_age_s) * NS_PER_S)
 
+    def resume(self, lifetime_s: float) -> None:
+        """Takes over the parts that an earlier process on this host held at its end.
+
+        It ended without leaving, so that every list named this host all the while, and
+        nobody else can hold them. So it is after a power loss of all hosts, where the
+        silence of those that don't come back would else have to be waited out.
+
+        Args:
+            lifetime_s: Seconds since that process began.
+        """
+        if lifetime_s >= _MIN_EARLIER_LIFETIME_S:
+            self._resumes_until = self._read_clock() + _RESUMPTION_NS
+
     def _on_membership_change(self) -> None:
         self._update_parts(self._read_clock())
 
@@ -147,12 +168,21 @@
             parts.leave(part, now, lease_end)
         for part in named:
             parts.want(part, now)
-            if self._may_be_held_elsewhere(part, now, lease_end):
+            if self._may_resume(part, now):
+                parts.hold(part, now)
+            elif self._may_be_held_elsewhere(part, now, lease_end):
                 parts.want_again(part, now)
         self._share_by_account.clear()
         if parts.wanted_since_by_part:
             self._notify()
 
+    def _may_resume(self, part: AccountPart, now: int) -> bool:
+        return (
+            now < self._resumes_until
+            and part in self.parts.wanted_since_by_part
+            and self.named.is_line_unbroken(part)
+        )
+
     def _may_be_held_elsewhere(
         self, part: AccountPart, now: int, lease_end: int
     ) -> bool:
--- a/mangospoke/rates/named_homes.py
+++ b/mangospoke/rates/named_homes.py
@@ -150,6 +150,17 @@
             ahead = line[: line.index(self._host_id) + 1]
         return self._ranks.changed_at(each for each in ahead if each != except_host)
 
+    def is_line_unbroken(self, part: AccountPart) -> bool:
+        """Returns whether no host before this one in line says that it leaves.
+
+        Then none of them can have given its place to this host lately.
+        """
+        line = self._ranks.line(self._domain, part.account_id)
+        if self._host_id not in line:
+            return False
+        ahead = line[: line.index(self._host_id)]
+        return all(map(self._ranks.is_present, ahead))
+
     def listed_at(self) -> int:
         """Returns when this host's own record last changed, as far as it knows."""
         return self._ranks.changed_at([self._host_id])
