Decoders and dials: an odd entry of another writer ends and stalls nobody

Cause: three errors that no reader expects. msgspec raises RecursionError, which isn't one of its own errors, for content that is nested too deeply. Its integers have no bound in JSON, so that a number broke later: in an arithmetic with floats, or in MessagePack. An address was split by `int` and given to the kernel, which raise ValueError and OverflowError for a bad port; a name was even looked up.

Change: what another process wrote is decoded by mangospoke/decoding.py, which turns each failure into msgspec's own error: host records, heartbeats, the store's and the log's answers, configurations, frames and control messages of peers, announcements, load reports, statuses, log lines. Numbers and addresses of host records and heartbeats are bounded by their types. `split_address` (mangospoke/addresses.py) takes IP numbers and ports only, and its error is an OSError, which every dial handles. A host's record under another host's key names nobody. Neighbours don't pass on entries that they can't decode.

The wait for a departure's record is 0.85 s in place of 0.7 s: since an answer without it is no acknowledgment, more of the upstream's second is used.

--- a/mangospoke/announcements.py
+++ b/mangospoke/announcements.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct
 
+from mangospoke.addresses import DialableAddress
 from mangospoke.ids import InstanceId, ServiceName
 
 
@@ -23,7 +24,7 @@
     """
 
     service: ServiceName
-    address: str
+    address: DialableAddress
     slots: int
     connections: int
     health_path: str = "/health"
--- a/mangospoke/bench/bare_relay.py
+++ b/mangospoke/bench/bare_relay.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from mangospoke.conf.settings import split_address
+from mangospoke.addresses import split_address
 
 _RECEIVE_BYTES = 65_536
 
--- a/mangospoke/bench/capacity/slopes.py
+++ b/mangospoke/bench/capacity/slopes.py
@@ -7,6 +7,7 @@
 import trio
 from msgspec import Struct
 
+from mangospoke.addresses import split_address
 from mangospoke.bench.capacity.daemons import (
     SERVICE,
     plan_daemons,
@@ -17,7 +18,6 @@
 from mangospoke.bench.fleet import Fleet, FleetHost
 from mangospoke.bench.plan import make_account
 from mangospoke.conf.declarations import Base
-from mangospoke.conf.settings import split_address
 from mangospoke.ids import (
     ClientAccountId,
     FailureDomainId,
--- a/mangospoke/checks/settings.py
+++ b/mangospoke/checks/settings.py
@@ -3,6 +3,7 @@
 import ipaddress
 from collections.abc import Iterator
 
+from mangospoke.addresses import InvalidAddressError, split_address
 from mangospoke.checks.catalogue import (
     ADDRESS_NOT_DIALLABLE,
     BUFFER_LARGER_THAN_BODY,
@@ -26,11 +27,10 @@
     register_settings_check,
 )
 from mangospoke.conf.lines import KeyPath
-from mangospoke.conf.settings import Settings, split_address
+from mangospoke.conf.settings import Settings
 
 MINIMUM_SECRET_CHARACTERS = 32
 
-_LARGEST_PORT = 65_535
 _LISTENERS = ("public", "local", "peer", "control", "operations")
 _LOG_LEVELS = frozenset(
     {"TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL"}
@@ -163,9 +163,8 @@
 
 
 def _is_address(address: str) -> bool:
-    ip, port = split_address(address)
     try:
-        ipaddress.IPv4Address(ip)
-    except ValueError:
+        split_address(address)
+    except InvalidAddressError:
         return False
-    return 0 < port <= _LARGEST_PORT
+    return True
--- a/mangospoke/client/connections.py
+++ b/mangospoke/client/connections.py
@@ -8,7 +8,7 @@
 import h11
 import trio
 
-from mangospoke.conf.settings import split_address
+from mangospoke.addresses import split_address
 from mangospoke.verdicts import Headers
 
 _RECEIVE_BYTES = 65_536
--- a/mangospoke/conf/settings.py
+++ b/mangospoke/conf/settings.py
@@ -156,9 +156,3 @@
     limits: Limits = Limits()
     logging: Logging = Logging()
     rates: Rates = Rates()
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Splits `IP:port` into its parts."""
-    ip, _, port = address.rpartition(":")
-    return ip, int(port)
--- a/mangospoke/control/interface.py
+++ b/mangospoke/control/interface.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from mangospoke.control.messages import Message, Rejected
+from mangospoke.decoding import decode_with
 
 Handler = Callable[[Any], Awaitable[Message]]
 AnswerType = TypeVar("AnswerType", bound=Message)
@@ -68,7 +69,7 @@
         content: The encoded request.
     """
     try:
-        request = decoder.decode(content)
+        request = decode_with(decoder, content)
     except msgspec.MsgspecError as error:
         return Rejected(str(error))
     try:
--- a/mangospoke/control/transport.py
+++ b/mangospoke/control/transport.py
@@ -29,6 +29,7 @@
 )
 from mangospoke.control.messages import EpochExpired, Message, Rejected
 from mangospoke.control.sockets import MAX_MESSAGE_BYTES, PeerSockets
+from mangospoke.decoding import decode_msgpack
 
 _SPARE_CONTEXTS = 8
 """Contexts that wait for a request, in addition to the busy ones."""
@@ -130,14 +131,14 @@
         encoded_response = await self._sockets.exchange(address, encoded_request)
         self.bytes_received += len(encoded_response)
         try:
-            envelope = msgspec.msgpack.decode(encoded_response, type=Envelope)
+            envelope = decode_msgpack(encoded_response, Envelope)
             if envelope.nonce != nonce or (
                 find_matching_secret(self._secrets, _RESPONSE_DIRECTION, envelope)
                 is None
             ):
                 raise ControlError("response failed authentication")
             types = response_type | Rejected | EpochExpired
-            response = msgspec.msgpack.decode(envelope.content, type=types)
+            response = decode_msgpack(envelope.content, types)
         except msgspec.MsgspecError as error:
             raise ControlError(f"malformed response: {error}") from error
         self._sockets.set_epoch(address, envelope.epoch)
@@ -216,7 +217,7 @@
     ) -> bytes | None:
         assert self._replay_guard is not None
         try:
-            envelope = msgspec.msgpack.decode(encoded_request, type=Envelope)
+            envelope = decode_msgpack(encoded_request, Envelope)
         except msgspec.MsgspecError:
             self._drop("malformed envelope")
             return None
--- a/mangospoke/forensics/log_reader.py
+++ b/mangospoke/forensics/log_reader.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import Struct
 
+from mangospoke.decoding import decode_json
 from mangospoke.observability.events import (
     LinesDropped,
     RequestEnded,
@@ -78,7 +79,7 @@
         return None
     content = raw_line[start:].strip()
     try:
-        common_fields = msgspec.json.decode(content, type=_CommonFields)
+        common_fields = decode_json(content, _CommonFields)
     except msgspec.MsgspecError:
         return None
     return LogLine(
@@ -93,6 +94,6 @@
 def _decode_typed_event(content: bytes) -> TypedEvent | None:
     event_type: Any = TypedEvent
     try:
-        return msgspec.json.decode(content, type=event_type)
+        return decode_json(content, event_type)
     except msgspec.MsgspecError:
         return None
--- a/mangospoke/guard/hints.py
+++ b/mangospoke/guard/hints.py
@@ -10,6 +10,7 @@
 import trio
 
 from mangospoke.announcements import Announcement, LoadReport
+from mangospoke.decoding import decode_json
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.client import (
     ConnectError,
@@ -90,6 +91,6 @@
     if response is None or response.status != _HTTP_OK or response.body.content is None:
         return None
     try:
-        return msgspec.json.decode(response.body.content, type=LoadReport)
+        return decode_json(response.body.content, LoadReport)
     except msgspec.MsgspecError:
         return None
--- a/mangospoke/http/client.py
+++ b/mangospoke/http/client.py
@@ -5,7 +5,7 @@
 import h11
 import trio
 
-from mangospoke.conf.settings import split_address
+from mangospoke.addresses import split_address
 from mangospoke.http.bodies import (
     Body,
     IncompleteBodyError,
@@ -391,8 +391,8 @@
     Raises:
         ConnectError: If the connection isn't established in time.
     """
-    ip, port = split_address(address)
     try:
+        ip, port = split_address(address)
         with trio.fail_after(timeout_s):
             stream = await open_stream(ip, port)
     except (OSError, trio.TooSlowError) as error:
--- a/mangospoke/http/listener.py
+++ b/mangospoke/http/listener.py
@@ -8,7 +8,7 @@
 import trio
 from loguru import logger
 
-from mangospoke.conf.settings import split_address
+from mangospoke.addresses import split_listen_address
 from mangospoke.streams import Stream
 
 ConnectionHandler = Callable[[Stream], Awaitable[None]]
@@ -37,7 +37,7 @@
     listen_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     # Accepted connections inherit this option.
     listen_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    await listen_socket.bind(split_address(address))
+    await listen_socket.bind(split_listen_address(address))
     listen_socket.listen(_BACKLOG)
     return trio.SocketListener(listen_socket)
 
--- a/mangospoke/ingress/local.py
+++ b/mangospoke/ingress/local.py
@@ -4,6 +4,7 @@
 
 from mangospoke.announcements import Announcement
 from mangospoke.calls import Call
+from mangospoke.decoding import decode_json
 from mangospoke.guard.executions import track_sub_call
 from mangospoke.guard.guard import Guard
 from mangospoke.http import fields
@@ -69,9 +70,7 @@
         if self._shutdown.is_draining:
             return _text_response(503, "the daemon is stopping")
         try:
-            announcement = msgspec.json.decode(
-                request.body.content or b"", type=Announcement
-            )
+            announcement = decode_json(request.body.content or b"", Announcement)
         except msgspec.MsgspecError as error:
             return _text_response(400, str(error))
         self._announcer.announce(announcement)
--- a/mangospoke/logservice/client.py
+++ b/mangospoke/logservice/client.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from mangospoke.conf.settings import LogService
+from mangospoke.decoding import decode_json
 from mangospoke.http.messages import HttpResponse
 from mangospoke.logservice.calls import (
     LogRefusedError,
@@ -83,6 +84,6 @@
 ) -> _ResponseType:
     """Decodes a response; one that was too large to be read whole has no content."""
     try:
-        return msgspec.json.decode(response.body.content or b"", type=response_type)
+        return decode_json(response.body.content or b"", response_type)
     except msgspec.MsgspecError as error:
         raise LogUnavailableError(f"cannot decode the response: {error}") from error
--- a/mangospoke/logservice/records.py
+++ b/mangospoke/logservice/records.py
@@ -7,11 +7,13 @@
 """
 
 import enum
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
-from msgspec import Raw, Struct
+from msgspec import Meta, Raw, Struct
 
+from mangospoke.addresses import DialableAddress, OptionalAddress
+from mangospoke.decoding import WholeNumber, decode_with
 from mangospoke.ids import (
     ClientAccountId,
     FailureDomainId,
@@ -20,6 +22,7 @@
     InstanceId,
     ServiceName,
 )
+from mangospoke.numbers import MAX_WHOLE_NUMBER
 
 
 class LogStream(enum.Enum):
@@ -109,6 +112,9 @@
     ABSENT = "absent"
 
 
+_Incarnation = Annotated[Incarnation, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
+
 class Departure(Struct, frozen=True, array_like=True):
     """Process runs of an upstream that have left for good.
 
@@ -119,7 +125,7 @@
     """
 
     instance: InstanceId
-    last_start_ms: int
+    last_start_ms: WholeNumber
 
 
 class UpstreamAnnounced(Record, frozen=True, kw_only=True, tag="upstream-announced"):
@@ -145,15 +151,15 @@
 
     host_id: HostId
     failure_domain: FailureDomainId
-    incarnation: Incarnation
+    incarnation: _Incarnation
     service: ServiceName
-    peer_address: str
-    control_address: str
-    slots: int
+    peer_address: DialableAddress
+    control_address: DialableAddress
+    slots: WholeNumber
     state: UpstreamState = UpstreamState.SERVING
-    operations_address: str = ""
-    sequence: int = 0
-    daemon_incarnation: Incarnation = Incarnation(0)
+    operations_address: OptionalAddress = ""
+    sequence: WholeNumber = 0
+    daemon_incarnation: _Incarnation = Incarnation(0)
     departures: tuple[Departure, ...] = ()
 
 
@@ -247,4 +253,4 @@
         msgspec.ValidationError: If it isn't a record of that stream.
         msgspec.DecodeError: If it isn't JSON.
     """
-    return _DECODERS_BY_STREAM[stream].decode(content)
+    return decode_with(_DECODERS_BY_STREAM[stream], content)
--- a/mangospoke/peers/client.py
+++ b/mangospoke/peers/client.py
@@ -6,8 +6,9 @@
 import trio
 from loguru import logger
 
+from mangospoke.addresses import split_address
 from mangospoke.calls import Call, SendStatus
-from mangospoke.conf.settings import Limits, split_address
+from mangospoke.conf.settings import Limits
 from mangospoke.http.bodies import Body, IncompleteBodyError
 from mangospoke.http.response_streams import bounded_response_body
 from mangospoke.ids import RouteName
@@ -223,9 +224,9 @@
         raise PeerUnavailableError(f"{address}: {last_error}")
 
     async def _dial_with_secret(self, address: str, secret: str) -> _PeerConnection:
-        ip, port = split_address(self._translate.get(address, address))
         self.record_sent(address)
         try:
+            ip, port = split_address(self._translate.get(address, address))
             with trio.fail_after(_DIAL_TIMEOUT_S):
                 stream = await open_stream(ip, port)
                 frames = FrameStream(stream)
--- a/mangospoke/peers/control.py
+++ b/mangospoke/peers/control.py
@@ -16,6 +16,7 @@
     message_union,
 )
 from mangospoke.control.messages import Message, Rejected
+from mangospoke.decoding import decode_msgpack
 from mangospoke.peers.client import PeerConnectionPool
 from mangospoke.peers.framing import PeerProtocolError, PeerUnavailableError
 
@@ -47,9 +48,7 @@
                 encoded_response = await self._peers.send_control_request(
                     address, content
                 )
-            response = msgspec.msgpack.decode(
-                encoded_response, type=response_type | Rejected
-            )
+            response = decode_msgpack(encoded_response, response_type | Rejected)
         except (
             trio.TooSlowError,
             PeerUnavailableError,
--- a/mangospoke/peers/framing.py
+++ b/mangospoke/peers/framing.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from mangospoke.decoding import decode_with
 from mangospoke.peers.messages import Frame
 from mangospoke.streams import Stream
 
@@ -98,7 +99,7 @@
 
 def _decode(content: bytes) -> Frame:
     try:
-        return _DECODER.decode(content)
+        return decode_with(_DECODER, content)
     except msgspec.MsgspecError as error:
         raise PeerProtocolError(str(error)) from error
 
--- a/mangospoke/platform/configuration.py
+++ b/mangospoke/platform/configuration.py
@@ -15,6 +15,7 @@
     EffectiveRoute,
     EffectiveService,
 )
+from mangospoke.decoding import decode_json
 from mangospoke.ids import ClientAccountId, KeyId, RouteName, ServiceName
 from mangospoke.platform.bounds import parse_duration_ms
 
@@ -126,9 +127,7 @@
 def read_configuration(content: bytes) -> EffectiveConfiguration | None:
     """Parses a configuration; logs the error and returns None if it is invalid."""
     try:
-        platform_configuration = msgspec.json.decode(
-            content, type=_PlatformConfiguration
-        )
+        platform_configuration = decode_json(content, _PlatformConfiguration)
         return _build_configuration(platform_configuration)
     except (msgspec.MsgspecError, ValueError) as error:
         logger.bind(event="configuration_rejected").error(
--- a/mangospoke/platform/heartbeats.py
+++ b/mangospoke/platform/heartbeats.py
@@ -1,16 +1,15 @@
 """Handles heartbeats of this host's upstream, sent to the `control` address."""
 
-from typing import Annotated
-
 import msgspec
 from loguru import logger
-from msgspec import Meta, Struct
+from msgspec import Struct
 
+from mangospoke.addresses import DialableAddress
+from mangospoke.decoding import WholeNumber, decode_json
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.ids import FailureDomainId, InstanceId, ServiceName
 from mangospoke.logservice.records import Departure
-from mangospoke.numbers import MAX_WHOLE_NUMBER
 from mangospoke.platform.bounds import parse_duration_ms
 from mangospoke.state.heartbeats import Heartbeat, HeartbeatReceiver, HeartbeatState
 
@@ -22,7 +21,6 @@
 }
 _MAX_COLD_LEFT_MS = 3_600_000
 """Longer times are taken for this one."""
-_WholeNumber = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
 
 _JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -31,7 +29,7 @@
     """What stays the same while an upstream runs."""
 
     service: str
-    slots: _WholeNumber
+    slots: WholeNumber
     zone: str = ""
 
 
@@ -45,7 +43,7 @@
     """
 
     state: str
-    seq: _WholeNumber
+    seq: WholeNumber
     cold_left: str | None = None
 
 
@@ -57,10 +55,10 @@
         born: Start time of the upstream in Unix milliseconds; 0 if not reported.
     """
 
-    address: str
+    address: DialableAddress
     info: _UpstreamInfo
     status: _UpstreamStatus
-    born: _WholeNumber = 0
+    born: WholeNumber = 0
 
 
 class HeartbeatRequestHandler:
@@ -104,7 +102,7 @@
     may send requests to this address.
     """
     try:
-        body = msgspec.json.decode(content, type=_HeartbeatBody)
+        body = decode_json(content, _HeartbeatBody)
         return Heartbeat(
             instance=instance,
             service=ServiceName(body.info.service),
--- a/mangospoke/platform/settings.py
+++ b/mangospoke/platform/settings.py
@@ -4,7 +4,6 @@
 import os
 from pathlib import Path
 
-import msgspec
 from loguru import logger
 from msgspec import Struct, field
 
@@ -23,6 +22,7 @@
     HostedSettings,
     RateExcessLimits,
 )
+from mangospoke.decoding import decode_json
 from mangospoke.guard.retry_arrivals import RetryLimit
 from mangospoke.ids import FailureDomainId, HostId, ServiceName, SiteId
 from mangospoke.numbers import MAX_WHOLE_NUMBER
@@ -103,7 +103,7 @@
         msgspec.ValidationError: If a field is missing or has the wrong type.
     """
     content = Path(os.environ[SETTINGS_PATH_VARIABLE]).read_bytes()
-    settings_file = msgspec.json.decode(content, type=_SettingsFile)
+    settings_file = decode_json(content, _SettingsFile)
     bounds = Bounds(settings_file.bounds)
     return HostedSettings(
         settings=_build_settings(settings_file),
--- a/mangospoke/platform/store.py
+++ b/mangospoke/platform/store.py
@@ -12,6 +12,7 @@
 from msgspec import Struct, field
 
 from mangospoke.conf.settings import LogService
+from mangospoke.decoding import decode_json
 from mangospoke.guard.dialect import find_field
 from mangospoke.http.messages import HttpResponse
 from mangospoke.logservice.calls import (
@@ -192,7 +193,7 @@
 def _conflict_error(response: HttpResponse, detail: str) -> LogRefusedError:
     """Returns the error that stands for a response with status 409."""
     try:
-        conflict = msgspec.json.decode(response.body.content or b"{}", type=_Conflict)
+        conflict = decode_json(response.body.content or b"{}", _Conflict)
     except msgspec.MsgspecError:
         return LogRefusedError(detail)
     if conflict.why == "seq":
@@ -216,7 +217,7 @@
 
 def _decode_json(content: bytes, response_type: type[_ResponseType]) -> _ResponseType:
     try:
-        return msgspec.json.decode(content, type=response_type)
+        return decode_json(content, response_type)
     except msgspec.MsgspecError as error:
         raise LogUnavailableError(f"cannot decode the response: {error}") from error
 
--- a/mangospoke/publication/hosts.py
+++ b/mangospoke/publication/hosts.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from mangospoke.decoding import decode_json
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.client import (
     ConnectError,
@@ -126,7 +127,7 @@
             await connection.aclose()
     if response.status != _HTTP_OK or response.body.content is None:
         raise HostUnreachableError(f"HTTP status {response.status}")
-    return msgspec.json.decode(response.body.content, type=DaemonStatus)
+    return decode_json(response.body.content, DaemonStatus)
 
 
 async def fetch_statuses(
--- a/mangospoke/rates/claiming.py
+++ b/mangospoke/rates/claiming.py
@@ -13,6 +13,7 @@
 
 from mangospoke.control.interface import ControlChannel, ControlError
 from mangospoke.control.messages import Message
+from mangospoke.decoding import decode_json
 from mangospoke.ids import HostId
 from mangospoke.logservice.records import UpstreamAnnounced
 from mangospoke.rates.homes import HomeDirectory
@@ -181,7 +182,7 @@
             return None
 
     async def _handle_claim(self, claim: ClaimParts) -> Message:
-        record = msgspec.json.decode(claim.record, type=UpstreamAnnounced)
+        record = decode_json(claim.record, UpstreamAnnounced)
         self._homes.refresh()
         self._learn_host(record)
         released = []
--- a/mangospoke/standin/faults.py
+++ b/mangospoke/standin/faults.py
@@ -19,7 +19,7 @@
 import trio
 from msgspec import Struct
 
-from mangospoke.conf.settings import split_address
+from mangospoke.addresses import split_listen_address
 from mangospoke.standin.forwarding import forward_connection
 from mangospoke.standin.http import HttpServer, Request, Response
 from mangospoke.standin.links import Links, LinkState
@@ -62,7 +62,7 @@
 
     async def add_forward(self, forward: Forward) -> str:
         """Listens for a forward and returns the address."""
-        ip, port = split_address(forward.listen)
+        ip, port = split_listen_address(forward.listen)
         listeners = await trio.open_tcp_listeners(port, host=ip, backlog=_BACKLOG)
         out = self.links.get(f"{forward.source}->{forward.destination}")
         back = self.links.get(f"{forward.destination}->{forward.source}")
--- a/mangospoke/standin/forwarding.py
+++ b/mangospoke/standin/forwarding.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from mangospoke.conf.settings import split_address
+from mangospoke.addresses import split_address
 from mangospoke.standin.links import Link, LinkMode
 
 _RECEIVE_BYTES = 65_536
--- a/mangospoke/standin/http.py
+++ b/mangospoke/standin/http.py
@@ -13,7 +13,7 @@
 import h11
 import trio
 
-from mangospoke.conf.settings import split_address
+from mangospoke.addresses import split_listen_address
 from mangospoke.standin.endless import EndlessBytes
 from mangospoke.verdicts import Headers
 
@@ -108,7 +108,7 @@
             address: IP and port to listen on; port 0 takes a free one.
             task_status: Told the address once the socket listens.
         """
-        ip, port = split_address(address)
+        ip, port = split_listen_address(address)
         listeners = await trio.open_tcp_listeners(port, host=ip, backlog=_BACKLOG)
         async with trio.open_nursery() as nursery:
             serve = partial(trio.serve_listeners, self._serve_stream, listeners)
--- a/mangospoke/state/host_directory.py
+++ b/mangospoke/state/host_directory.py
@@ -6,6 +6,7 @@
 import msgspec
 from loguru import logger
 
+from mangospoke.decoding import decode_json
 from mangospoke.ids import HostId
 from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.logservice.records import UpstreamAnnounced
@@ -32,6 +33,7 @@
         self._fleet = fleet
         self._hosts_by_id: dict[HostId, UpstreamAnnounced] = {}
         self._records_by_key: dict[str, KeyedRecord] = {}
+        self._unreadable_offset_by_key: dict[str, int] = {}
         self._was_read = False
 
     def __len__(self) -> int:
@@ -64,6 +66,8 @@
             host = _decode_host(record)
             if host is not None:
                 self._store_if_newer(host)
+            else:
+                self._unreadable_offset_by_key[record.key] = record.offset
         self._fleet.set_upstreams(dict(self._hosts_by_id))
         for listener in self.listeners:
             listener()
@@ -85,6 +89,7 @@
         self.era = era
         self.next_offset = 0
         self._records_by_key.clear()
+        self._unreadable_offset_by_key.clear()
 
     def _note_offset(self, record: KeyedRecord, era: int | None) -> bool:
         """Notes a record's offset; returns whether it may be news."""
@@ -96,11 +101,15 @@
         return known != record
 
     def records_from(self, offset: int) -> list[KeyedRecord]:
-        """Returns the newest record of each key, of those from an offset on."""
+        """Returns the newest record of each key, of those from an offset on.
+
+        Those that can't be decoded are left out: they name no host, and may be large.
+        """
         records = [
             record
             for record in self._records_by_key.values()
             if record.offset >= offset
+            and record.offset != self._unreadable_offset_by_key.get(record.key)
         ]
         return sorted(records, key=lambda record: record.offset)
 
@@ -122,12 +131,19 @@
 
 
 def _decode_host(record: KeyedRecord) -> UpstreamAnnounced | None:
+    """Decodes a host's record; None, with a log line, if another writer left it."""
     try:
-        return msgspec.json.decode(record.value, type=UpstreamAnnounced)
+        host = decode_json(record.value, UpstreamAnnounced)
     except msgspec.MsgspecError as error:
-        logger.bind(event="host_unreadable", key=record.key).warning(
-            "skipping the record of host {}, which can't be decoded: {}",
-            record.key,
-            error,
-        )
+        _log_unreadable(record, str(error))
+        return None
+    if host.host_id != record.key:
+        _log_unreadable(record, f"it is of host {host.host_id!r}")
         return None
+    return host
+
+
+def _log_unreadable(record: KeyedRecord, reason: str) -> None:
+    logger.bind(event="host_unreadable", key=record.key).warning(
+        "skipping the record of host {}: {}", record.key, reason
+    )
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -31,7 +31,7 @@
 from mangospoke.state.host_record_writer import HostRecordWriter
 from mangospoke.state.unconfirmed_heartbeats import UnconfirmedHeartbeats
 
-_MAX_ACKNOWLEDGMENT_DELAY_S = 0.7
+_MAX_ACKNOWLEDGMENT_DELAY_S = 0.85
 """Longest wait for a departure's record before its upstream is told that there is none
 yet. An upstream takes a response that comes after a second for none."""
 
--- a/mangospoke/state/writer.py
+++ b/mangospoke/state/writer.py
@@ -10,6 +10,7 @@
 from mangospoke.control.interface import ControlError
 from mangospoke.control.messages import ShareMembership, ShareMembershipResponse
 from mangospoke.control.transport import NngControlChannel
+from mangospoke.decoding import decode_with
 from mangospoke.ids import FailureDomainId, HostId
 from mangospoke.logservice.client import (
     LogClient,
@@ -169,4 +170,4 @@
 
 
 def _decode_all(records: Iterable[bytes]) -> list[ProvisionalRecord]:
-    return [_DECODER.decode(content) for content in records]
+    return [decode_with(_DECODER, content) for content in records]
--- a/tests/rates/home_fleet.py
+++ b/tests/rates/home_fleet.py
@@ -18,6 +18,7 @@
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.membership import announcement_order
+from tests.harness.addresses import fake_address, host_at
 from tests.rates.fake_fleet import (
     LATENCY_S_BY_SAME_DOMAIN,
     announcement,
@@ -31,6 +32,14 @@
     return EffectiveAccount(account_id, rate, burst, 1, {}, None, None)
 
 
+def _announcement(host_id, state=UpstreamState.SERVING):
+    """Returns a host's record with an address that can be decoded."""
+    address = fake_address(host_id)
+    return msgspec.structs.replace(
+        announcement(host_id, state), peer_address=address, control_address=address
+    )
+
+
 class _HomeHost:
     """A daemon of the fleet: its view of the hosts, and its part of the rates."""
 
@@ -106,9 +115,10 @@
         """The control channel of this host."""
         await self.home_fleet.wait_thawed(self.host_id)
         self.home_fleet.message_count += 1
-        self.home_fleet.messages_by_host[address] += 1
+        receiver = host_at(address)
+        self.home_fleet.messages_by_host[receiver] += 1
         with trio.move_on_after(timeout_s):
-            return await self.home_fleet.transmit(self.host_id, address, request)
+            return await self.home_fleet.transmit(self.host_id, receiver, request)
         raise ControlError("no answer")
 
 
@@ -149,7 +159,7 @@
         self.scopes_by_host = {}
         for index in range(hosts):
             host_id = f"{self.domains[index % domains]}{index}"
-            self.records_by_host[host_id] = announcement(host_id)
+            self.records_by_host[host_id] = _announcement(host_id)
         for host_id in self.records_by_host:
             self.start_host(host_id)
 
@@ -200,7 +210,7 @@
         """Changes a host's record, which it knows at once and the others later."""
         sequence = self.records_by_host[host_id].sequence + 1
         record = msgspec.structs.replace(
-            announcement(host_id, state), sequence=sequence
+            _announcement(host_id, state), sequence=sequence
         )
         self.records_by_host[host_id] = record
         host = self.hosts_by_id.get(host_id)
@@ -219,9 +229,11 @@
 
     async def announce(self, host_id, state=UpstreamState.SERVING, max_lag_s=0.0):
         """Changes a host's record, which each host learns of after some time."""
-        sequence = self.records_by_host.get(host_id, announcement(host_id)).sequence + 1
+        sequence = (
+            self.records_by_host.get(host_id, _announcement(host_id)).sequence + 1
+        )
         self.records_by_host[host_id] = msgspec.structs.replace(
-            announcement(host_id, state), sequence=sequence
+            _announcement(host_id, state), sequence=sequence
         )
         for host in list(self.hosts_by_id.values()):
             self.nursery.start_soon(self._learn, host, self.rng.uniform(0, max_lag_s))
--- a/tests/standin/test_faults.py
+++ b/tests/standin/test_faults.py
@@ -4,8 +4,8 @@
 import pytest
 import trio
 
+from mangospoke.addresses import split_address
 from mangospoke.client.connections import ConnectionPool, ExchangeError
-from mangospoke.conf.settings import split_address
 from mangospoke.standin.faults import FaultsSettings, Forward, serve_faults
 from mangospoke.standin.http import HttpServer, Response
 from mangospoke.standin.links import Link, LinkMode, LinkState
--- a/tests/standin/test_upstream.py
+++ b/tests/standin/test_upstream.py
@@ -4,10 +4,10 @@
 import pytest
 import trio
 
+from mangospoke.addresses import split_address
 from mangospoke.announcements import LoadReport
 from mangospoke.bench.waiting import wait_until
 from mangospoke.client.connections import ExchangeError
-from mangospoke.conf.settings import split_address
 from mangospoke.http.fields import DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID, SHED
 from mangospoke.standin.answers import is_whole_answer
 from mangospoke.standin.executions import Result, read_record
--- a/tests/state/following_fleet.py
+++ b/tests/state/following_fleet.py
@@ -19,6 +19,7 @@
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.host_directory import HostDirectory
 from mangospoke.state.keyed_following import KeyedFollowing, KeyedTopics
+from tests.harness.addresses import fake_address, host_at
 
 MAX_AGE_S = 4.4
 LATENCY_S = 0.004
@@ -156,7 +157,9 @@
 
     async def send_request(self, address, request, answer_type, timeout_s):
         with trio.move_on_after(timeout_s):
-            return await self.following_fleet.transmit(self.host_id, address, request)
+            return await self.following_fleet.transmit(
+                self.host_id, host_at(address), request
+            )
         raise ControlError("no answer")
 
 
@@ -244,8 +247,8 @@
         failure_domain=host_id[0],
         incarnation=1,
         service="s",
-        peer_address=host_id,
-        control_address=host_id,
+        peer_address=fake_address(host_id),
+        control_address=fake_address(host_id),
         slots=1,
     )
 
