--- a/tests/platform/hosted_fleet.py
+++ b/tests/platform/hosted_fleet.py
@@ -74,6 +74,10 @@
         self.cancelled_by_request_id = Counter()
         self.address = ""
 
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serves until it is cancelled; reports its address."""
+        await serve_http(self.handle, task_status=task_status)
+
     async def handle(self, request):
         headers = dict(request.headers)
         self.received.append((request, headers))
@@ -242,7 +246,7 @@
             store.put("keyed.op", "config", build_configuration(version, **settings))
             for number, service in enumerate(services):
                 upstream = make_upstream(service)
-                upstream.address = await nursery.start(serve_http, upstream.handle)
+                upstream.address = await nursery.start(upstream.serve)
                 ip = network.host_ip(number)
                 zone = (zones or {}).get(service, "a")
                 daemon = HostedDaemonProcess(
