Daemons: what both kinds are made of is made in one place

Change: these are factories in daemon/components.py now, and the rates of a hosted daemon are a module of their own (daemon/hosted_rates.py), with the take-over of what an earlier process held.

--- a/mangospoke/daemon/assembly.py
+++ b/mangospoke/daemon/assembly.py
@@ -6,6 +6,11 @@
 
 from mangospoke.conf.settings import Settings, ShareMode
 from mangospoke.control.transport import NngControlChannel
+from mangospoke.daemon.components import (
+    add_quarantine,
+    make_identity,
+    make_peer_connections,
+)
 from mangospoke.daemon.operations import OperationsRequestHandler
 from mangospoke.daemon.status import read_status
 from mangospoke.guard.at_most_once import AtMostOnceExecutor
@@ -68,13 +73,7 @@
 def assemble_daemon(settings: Settings, log: EventLog) -> Daemon:
     """Creates all components of a daemon and connects them."""
     incarnation = Incarnation(int(time.time() * 1000))
-    identity = Identity(
-        settings.host.id,
-        settings.host.failure_domain,
-        incarnation,
-        settings.fleet.secret,
-        settings.fleet.previous_secrets,
-    )
+    identity = make_identity(settings, incarnation)
     domain = settings.host.failure_domain
     fleet = Fleet(settings.host.site)
     log_client = LogClient(settings.log)
@@ -93,23 +92,8 @@
     balancer = Balancer(
         fleet, settings.host.id, domain, ejector, guard.load, random.Random()
     )
-    peers = PeerConnectionPool(
-        identity,
-        settings.fleet.translate,
-        balancer.record_load,
-        balancer.record_one_way_delay,
-        settings.limits.body_bytes,
-        balancer.notices.read,
-    )
-    quarantine = QuarantineController(
-        settings.host.id,
-        domain,
-        fleet,
-        control,
-        guard.accepts_connections,
-        guard.upstream_service,
-    )
-    guard.quarantine = quarantine
+    peers = make_peer_connections(settings, identity, balancer)
+    quarantine = add_quarantine(settings, fleet, control, guard, guard.upstream_service)
     host_incarnation = (settings.host.id, incarnation)
     claim_groups = ClaimGroups(host_incarnation, fleet, RECORD_LIFETIME_S)
     at_most_once = AtMostOnceExecutor(
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -15,6 +15,12 @@
 from loguru import logger
 
 from mangospoke.conf.settings import Settings
+from mangospoke.daemon.components import (
+    add_quarantine,
+    make_identity,
+    make_peer_connections,
+)
+from mangospoke.daemon.hosted_rates import HostedRates
 from mangospoke.daemon.hosting import HostedSettings
 from mangospoke.daemon.operations import OperationsRequestHandler
 from mangospoke.daemon.platform_adapter import PlatformAdapter
@@ -22,7 +28,6 @@
 from mangospoke.daemon.supervision import Service
 from mangospoke.guard.evacuation import EvacuationGate
 from mangospoke.guard.guard import Guard
-from mangospoke.guard.poison import QuarantineController
 from mangospoke.guard.retry_arrivals import RetryArrivals
 from mangospoke.guard.retry_gate import RetryGate
 from mangospoke.hangups import HangUpMonitor
@@ -40,20 +45,12 @@
 from mangospoke.ingress.dispatch import Dispatcher
 from mangospoke.ingress.hosted import HostedRequestHandler
 from mangospoke.logservice.keyed import KeyedRecord
-from mangospoke.logservice.records import UpstreamState
 from mangospoke.observability.decisions import DecisionLog
 from mangospoke.observability.lag import LoopLagMonitor
 from mangospoke.observability.logs import EventLog
 from mangospoke.observability.overload import OverloadDetector
-from mangospoke.peers.client import PeerConnectionPool
 from mangospoke.peers.control import PeerControlChannel
-from mangospoke.peers.handshake import Identity
-from mangospoke.rates.borrowing import BorrowedRates
-from mangospoke.rates.claiming import PartClaimer
-from mangospoke.rates.homes import HomeDirectory
-from mangospoke.rates.lending import LendingShares
-from mangospoke.rates.named_homes import Excess
-from mangospoke.rates.timing import HOME_LEASE_NS, NS_PER_S, read_clock
+from mangospoke.rates.timing import HOME_LEASE_NS, NS_PER_S
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
@@ -65,18 +62,13 @@
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.freshness import Freshness
 from mangospoke.state.heartbeats import make_heartbeat_check
-from mangospoke.state.host_directory import HostDirectory, find_host
+from mangospoke.state.host_directory import HostDirectory
 from mangospoke.state.keyed_following import KeyedFollowing
 from mangospoke.state.registrar import HostRegistrar
 
 _FRESHNESS_RATIO = 0.88
 """Part of `withdrawal_s` for which a host may serve without confirmation."""
 
-_EXCESS_RATIO = 0.5
-_EXCESS_REQUESTS_RATIO = 0.8
-"""Parts of the allowed excess that are used. The rest covers an account's previous home
-that hasn't learned yet of the host that replaces it."""
-
 _MAX_REROUTES = 2
 _EVACUATION_NOTICE_RATIO = 0.15
 """Part of `evacuation_s` in which the upstream of an evacuated domain still gets
@@ -153,17 +145,8 @@
             random.Random(),
             self.reachability.is_silent,
         )
-        self.identity = Identity(
-            settings.host.id, domain, incarnation, settings.fleet.secret
-        )
-        self.peers = PeerConnectionPool(
-            self.identity,
-            {},
-            balancer.record_load,
-            balancer.record_one_way_delay,
-            settings.limits.body_bytes,
-            balancer.notices.read,
-        )
+        self.identity = make_identity(settings, incarnation)
+        self.peers = make_peer_connections(settings, self.identity, balancer)
         self.control = PeerControlChannel(self.peers)
         self.reachability_watch = ReachabilityWatch(
             settings.host.id,
@@ -173,15 +156,13 @@
             self.control,
             self.reachability,
         )
-        self.quarantine = QuarantineController(
-            settings.host.id,
-            domain,
+        self.quarantine = add_quarantine(
+            settings,
             self.fleet,
             self.control,
-            self.guard.accepts_connections,
+            self.guard,
             lambda: hosted_settings.upstream_service,
         )
-        self.guard.quarantine = self.quarantine
         shutdown = Shutdown()
         self.decisions.read_shutdown_status = shutdown.status
         dispatcher = Dispatcher(
@@ -197,21 +178,15 @@
             peers_retry=False,
         )
         self._follow_reachability(dispatcher)
-        self.homes = self._make_homes()
-        shares = LendingShares(self.homes.share_of, read_clock())
-        self.rates = BorrowedRates(
-            settings.host.id, self.fleet, self.control, self.homes, shares
-        )
-        self.part_claimer = PartClaimer(
-            settings.host.id,
+        self._account_rates = HostedRates(
+            hosted_settings,
+            incarnation,
             self.fleet,
+            self.directory,
             self.control,
-            self.homes,
-            shares,
-            self.registrar.desired_record,
-            self.directory.handle_written,
-            read_clock,
+            self.registrar,
         )
+        self.rates = self._account_rates.borrowed
         self.request_handler = HostedRequestHandler(
             self.fleet,
             self.freshness,
@@ -328,19 +303,10 @@
             or service in self.fleet.configuration.services_by_name
         )
 
-    def _resume_homes(self, newest: Sequence[KeyedRecord]) -> None:
-        """Takes over what the process before this one on this host held."""
-        stored = find_host(newest, self.settings.host.id)
-        own_incarnation = self.identity.incarnation
-        if stored is None or stored.daemon_incarnation >= own_incarnation:
-            return
-        if stored.state is not UpstreamState.DRAINING:
-            self.homes.resume((own_incarnation - stored.daemon_incarnation) / 1000)
-
     def _handle_stored_hosts(
         self, newest: Sequence[KeyedRecord], sent_at: float, era: int | None
     ) -> None:
-        self._resume_homes(newest)
+        self._account_rates.resume(newest)
         self.registrar.take_over(newest)
         self.registrar.check_written(newest, sent_at, era)
 
@@ -349,23 +315,6 @@
         self.guard.cold_starts.max_excess_ratio = limits.max_excess_ratio
         self.guard.cold_starts.max_excess_requests = limits.max_excess_requests
 
-    def _make_homes(self) -> HomeDirectory:
-        rates = self.hosted_settings.guarantees.rates
-        return HomeDirectory(
-            self.fleet,
-            self.settings.host.id,
-            self.settings.host.failure_domain,
-            self.hosted_settings.failure_domains,
-            Excess(
-                rates.max_excess_ratio * _EXCESS_RATIO,
-                rates.max_excess_requests * _EXCESS_REQUESTS_RATIO,
-                rates.window_s,
-            ),
-            self.directory.freshness,
-            read_clock,
-            self.registrar.is_leaving,
-        )
-
     async def answer_readiness(self, request: HttpRequest) -> HttpResponse:
         """Handles a readiness check: whether this host accepts requests of callers."""
         is_ready = (
@@ -389,7 +338,7 @@
         return {
             **self.following.services_by_name(),
             "rates": self.rates.run,
-            "parts of rates": self.part_claimer.run,
+            "parts of rates": self._account_rates.claimer.run,
             "registrar": self.registrar.run,
             "admission": self.guard.admission.run,
             "cold starts": self.guard.cold_starts.run,
