Registrar: what records departures is a module of its own

Change: state/departure_records.py follows departures into the host's record (what has to be recorded, the wait, repeated deregistrations); the context of a hosted daemon's own services is made in daemon/components.py. No behaviour is changed.

--- a/mangospoke/daemon/components.py
+++ b/mangospoke/daemon/components.py
@@ -1,11 +1,20 @@
 """Factories of the components that both kinds of daemon have."""
 
 from collections.abc import Callable
+from dataclasses import replace
+
+import msgspec
 
 from mangospoke.conf.settings import Settings
 from mangospoke.control.interface import ControlChannel
 from mangospoke.guard.guard import Guard
 from mangospoke.guard.poison import QuarantineController
+from mangospoke.http.held_bytes import (
+    SERVICE_BODY_BYTES,
+    HeldBytes,
+    service_capacity,
+)
+from mangospoke.http.server import ConnectionContext
 from mangospoke.ids import Incarnation, ServiceName
 from mangospoke.peers.client import PeerConnectionPool
 from mangospoke.peers.handshake import Identity
@@ -55,3 +64,16 @@
         upstream_service,
     )
     return guard.quarantine
+
+
+def make_service_connections(connections: ConnectionContext) -> ConnectionContext:
+    """Returns the context of connections that bring no requests of callers."""
+    return replace(
+        connections,
+        limits=msgspec.structs.replace(
+            connections.limits,
+            body_bytes=SERVICE_BODY_BYTES,
+            buffered_body_bytes=SERVICE_BODY_BYTES,
+        ),
+        held_bytes=HeldBytes(service_capacity()),
+    )
--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -10,7 +10,6 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-import msgspec
 import trio
 from loguru import logger
 
@@ -19,6 +18,7 @@
     add_quarantine,
     make_identity,
     make_peer_connections,
+    make_service_connections,
 )
 from mangospoke.daemon.hosted_rates import HostedRates
 from mangospoke.daemon.hosting import HostedSettings
@@ -33,10 +33,8 @@
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.held_bytes import (
-    SERVICE_BODY_BYTES,
     HeldBytes,
     callers_capacity,
-    service_capacity,
 )
 from mangospoke.http.messages import HttpRequest, HttpResponse
 from mangospoke.http.server import ConnectionContext
@@ -228,15 +226,7 @@
                 )
             ),
         )
-        self.service_connections = replace(
-            self.connections,
-            limits=msgspec.structs.replace(
-                settings.limits,
-                body_bytes=SERVICE_BODY_BYTES,
-                buffered_body_bytes=SERVICE_BODY_BYTES,
-            ),
-            held_bytes=HeldBytes(service_capacity()),
-        )
+        self.service_connections = make_service_connections(self.connections)
         self.operations = OperationsRequestHandler(
             lambda: read_hosted_status(self),
             self.decisions,
@@ -264,9 +254,8 @@
             hosted_settings.guarantees.withdrawal_s * _FRESHNESS_RATIO
         )
         self._apply_cold_limits()
-        needs_restart = (
-            replace(previous, guarantees=hosted_settings.guarantees) != hosted_settings
-        )
+        reloaded = replace(previous, guarantees=hosted_settings.guarantees)
+        needs_restart = reloaded != hosted_settings
         logger.bind(event="reloaded", needs_restart=needs_restart).info(
             "reloaded the settings{}",
             "; some changes require a restart" if needs_restart else "",
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -25,20 +25,13 @@
     UpstreamAnnounced,
     UpstreamState,
 )
-from mangospoke.state.departures import Departures, covers
+from mangospoke.state.departure_records import DepartureRecords
+from mangospoke.state.departures import Departures
 from mangospoke.state.heartbeats import Heartbeat, HeartbeatCheck, HeartbeatState
 from mangospoke.state.host_directory import find_host
 from mangospoke.state.host_record_writer import HostRecordWriter
 from mangospoke.state.unconfirmed_heartbeats import UnconfirmedHeartbeats
 
-_MAX_ACKNOWLEDGMENT_DELAY_S = 0.85
-"""Longest wait for a departure's record before its upstream is told that there is none
-yet. An upstream takes a response that comes after a second for none."""
-
-_MAX_REPETITION_MS = 10_000
-"""Time after a deregistration in which another one is taken for the same. An upstream
-without an acknowledgment repeats it with its next heartbeat."""
-
 _DEFAULT_MAX_CONNECTIONS = 1_000_000
 """Connection limit of an upstream, as heartbeats don't report one."""
 
@@ -81,13 +74,12 @@
         self._took_over = trio.Event()
         self._unconfirmed = UnconfirmedHeartbeats(time.time_ns() // 1_000_000)
         self._logged_heartbeat: tuple[InstanceId, int, str] | None = None
-        self._departures_before: tuple[Departure, ...] = ()
-        self._unheard_departure: Departure | None = None
         self._latest_heartbeat: Heartbeat | None = None
         self._sequence = 0
         self._writer = HostRecordWriter(
             incarnation, log, topic, self._make_record(UpstreamState.ABSENT, 0)
         )
+        self._departure_records = DepartureRecords(self._departures, self._writer)
         guard.leaving_listeners.append(self._handle_leaving)
 
     @property
@@ -114,8 +106,7 @@
         self._took_over.set()
         stored = find_host(newest, self._settings.host.id)
         if stored is not None:
-            self._departures_before = stored.departures
-            self._departures.restore(stored.departures)
+            self._departure_records.restore(stored.departures)
         self._replace_desired_record(
             self._writer.record.state, self._writer.record.slots
         )
@@ -196,7 +187,9 @@
         """
         latest = self._latest_heartbeat
         if latest is None or latest.instance != instance:
-            return self._add_unheard_departure(instance)
+            departure, awaited = self._departure_records.make_unheard(instance)
+            self._add_departure(instance, departure.last_start_ms)
+            return awaited
         self.handle_heartbeat(
             dataclasses.replace(
                 latest, state=HeartbeatState.LEAVING, sequence=latest.sequence + 1
@@ -204,25 +197,6 @@
         )
         return latest.departure()
 
-    def _add_unheard_departure(self, instance: InstanceId) -> Departure:
-        """Adds the departure of a run that this process hasn't heard of.
-
-        Returns:
-            It, or the one that this message repeats: else a repeated message would
-            never be acknowledged while the log service is slow.
-        """
-        departure = Departure(instance, time.time_ns() // 1_000_000)
-        self._add_departure(instance, departure.last_start_ms)
-        earlier = self._unheard_departure
-        if (
-            earlier is not None
-            and earlier.instance == instance
-            and departure.last_start_ms - earlier.last_start_ms <= _MAX_REPETITION_MS
-        ):
-            return earlier
-        self._unheard_departure = departure
-        return departure
-
     def _add_departure(self, instance: InstanceId, last_start_ms: int) -> None:
         if not self._departures.add(instance, last_start_ms):
             return
@@ -358,24 +332,8 @@
 
     async def wait_recorded(self, departure: Departure) -> bool:
         """See `HeartbeatReceiver.wait_recorded`."""
-        if not self._departures.has_left(departure.instance, departure.last_start_ms):
-            return False
-        with trio.move_on_after(_MAX_ACKNOWLEDGMENT_DELAY_S):
-            await self._writer.wait_until_written(
-                lambda record: covers(record.departures, departure)
-            )
-            return True
-        logger.bind(
-            event="departure_unrecorded",
-            instance=departure.instance,
-            last_start_ms=departure.last_start_ms,
-        ).warning("the departure isn't recorded yet, so it isn't acknowledged")
-        return False
+        return await self._departure_records.wait_recorded(departure)
 
     async def wait_departures_recorded(self) -> None:
         """Waits until all departures are recorded; not at all if they are."""
-        if self._departures.are_recorded(self._departures_before):
-            return
-        await self._writer.wait_until_written(
-            lambda record: self._departures.are_recorded(record.departures)
-        )
+        await self._departure_records.wait_all_recorded()
