--- a/mangospoke/bench/bare_relay.py
+++ b/mangospoke/bench/bare_relay.py
@@ -9,7 +9,7 @@
 import h11
 import trio
 
-from mangospoke.addresses import split_address
+from mangospoke.addresses import split_address, split_listen_address
 
 _RECEIVE_BYTES = 65_536
 
@@ -28,7 +28,7 @@
         upstream: Address of the upstream.
         task_status: Told the address once it listens.
     """
-    ip, port = split_address(address)
+    ip, port = split_listen_address(address)
     listeners = await trio.open_tcp_listeners(port, host=ip)
     bound_port = listeners[0].socket.getsockname()[1]
     task_status.started(f"{ip}:{bound_port}")
--- a/tests/platform/test_repeated_refusals.py
+++ b/tests/platform/test_repeated_refusals.py
@@ -57,7 +57,7 @@
                         await self._send_late(stream, lock, late)
                     response = await self._respond(request_id)
                     if response is None:
-                        await self._cut(stream, request_id)
+                        await self._cut(stream, lock, request_id)
                         break
                     await self._send_late(stream, lock, late)
                     async with lock:
@@ -93,10 +93,11 @@
             return None
         return encode(200, request_id, "Response-Signature: s", body=BODY)
 
-    async def _cut(self, stream, request_id):
+    async def _cut(self, stream, lock, request_id):
         response = encode(200, request_id, "Response-Signature: s", body=BODY)
         self.cut += 1
-        await stream.send_all(response[: self._dice.randrange(len(response))])
+        async with lock:
+            await stream.send_all(response[: self._dice.randrange(len(response))])
 
     async def _repeat(self, stream, lock, response, late):
         """Writes a refusal once more: now, soon, or around the next exchange."""
