Homes: a host keeps its rates until its record says that it leaves

Cause: the host withdrew when it wanted its record to say that it leaves, not when the record did. Its line of successors is found by the list of hosts, in which it was neither present nor changed: nobody was told. With a young record its successors were told of a record that didn't exist.

Change: a host leaves when the list of hosts, its own included, says so. It tells that record. The parameters that said the same in a second way are gone. The double of the fleet and one test wrote `is_leaving`; they write the record now, and the checks stay.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -182,7 +182,6 @@
             self.fleet,
             self.directory,
             self.control,
-            self.registrar,
         )
         self.rates = self._account_rates.borrowed
         self.request_handler = HostedRequestHandler(
--- a/mangospoke/daemon/hosted_rates.py
+++ b/mangospoke/daemon/hosted_rates.py
@@ -19,7 +19,6 @@
 from mangospoke.rates.timing import read_clock
 from mangospoke.state.fleet import Fleet
 from mangospoke.state.host_directory import HostDirectory, find_host
-from mangospoke.state.registrar import HostRegistrar
 
 _EXCESS_RATIO = 0.5
 _EXCESS_REQUESTS_RATIO = 0.8
@@ -42,7 +41,6 @@
         fleet: Fleet,
         directory: HostDirectory,
         control: ControlChannel,
-        registrar: HostRegistrar,
     ) -> None:
         host = hosted_settings.settings.host
         rates = hosted_settings.guarantees.rates
@@ -60,7 +58,6 @@
             ),
             directory.freshness,
             read_clock,
-            registrar.is_leaving,
         )
         shares = LendingShares(self._homes.share_of, read_clock())
         self.borrowed = BorrowedRates(host.id, fleet, control, self._homes, shares)
@@ -70,7 +67,6 @@
             control,
             self._homes,
             shares,
-            registrar.desired_record,
             directory.handle_written,
             read_clock,
         )
--- a/mangospoke/rates/claiming.py
+++ b/mangospoke/rates/claiming.py
@@ -37,7 +37,6 @@
         control: Control channel to the other hosts.
         homes: The parts that this host holds.
         shares: The tokens of those parts.
-        read_record: Returns this host's record as it is, or is about to be, written.
         learn_host: Learns of a host's record before it was read.
         clock: Returns nanoseconds, as `timing.read_clock` does.
     """
@@ -49,7 +48,6 @@
         control: ControlChannel,
         homes: HomeDirectory,
         shares: LendingShares,
-        read_record: Callable[[], UpstreamAnnounced],
         learn_host: Callable[[UpstreamAnnounced], None],
         clock: Callable[[], int],
     ) -> None:
@@ -58,7 +56,6 @@
         self._control = control
         self._homes = homes
         self._shares = shares
-        self._read_record = read_record
         self._learn_host = learn_host
         self._clock = clock
         self._changed = trio.Event()
@@ -85,11 +82,12 @@
 
         They needn't wait until they read it.
         """
-        if not self._homes.has_withdrawn:
+        if not self._homes.is_leaving:
             self._has_told = False
         elif not self._has_told:
             self._has_told = True
-            claim = ClaimParts(msgspec.json.encode(self._read_record()), ())
+            record = self._fleet.upstreams_by_host[self._host_id]
+            claim = ClaimParts(msgspec.json.encode(record), ())
             async with trio.open_nursery() as nursery:
                 for host_id in self._homes.successors():
                     nursery.start_soon(self._send, host_id, claim)
--- a/mangospoke/rates/homes.py
+++ b/mangospoke/rates/homes.py
@@ -13,6 +13,7 @@
 
 from mangospoke.conf.effective import EffectiveAccount
 from mangospoke.ids import ClientAccountId, FailureDomainId, HostId
+from mangospoke.logservice.records import UpstreamState
 from mangospoke.rates.held_parts import HeldParts
 from mangospoke.rates.messages import AccountPart
 from mangospoke.rates.named_homes import Excess, NamedHomes
@@ -71,14 +72,11 @@
         excess: How far the rates may be exceeded.
         list_freshness: When the list of hosts was last proved complete.
         read_clock: Returns nanoseconds, as `timing.read_clock` does.
-        is_leaving: Returns whether this host is about to be no home any more, which the
-            other hosts learn from its record.
 
     Attributes:
         named: Whom the list of hosts names as homes and reserves.
         parts: The parts that this host holds, and those that it has to claim.
         listeners: Called when there are parts to claim, or this host begins to leave.
-        has_withdrawn: Whether this host has given up its parts because it leaves.
     """
 
     def __init__(
@@ -90,7 +88,6 @@
         excess: Excess,
         list_freshness: Freshness,
         read_clock: Callable[[], int],
-        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self.named = NamedHomes(fleet, host_id, domain, domains, excess)
         self.parts = HeldParts()
@@ -101,8 +98,6 @@
         self._excess = excess
         self._list_freshness = list_freshness
         self._read_clock = read_clock
-        self._is_leaving = is_leaving
-        self.has_withdrawn = False
         self._had_lease = False
         self._resumes_until = 0
         self._share_by_account: dict[
@@ -121,6 +116,17 @@
             return 0
         return int((freshness.confirmed_at + freshness.max_age_s) * NS_PER_S)
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this host leaves, so that it is no home any more.
+
+        It holds its parts until its record says so. A process that ends before that is
+        succeeded on its host, which takes them over (`resume`): had it given them away,
+        two hosts would hold them.
+        """
+        own = self.named.host(self._host_id)
+        return own is not None and own.state is UpstreamState.DRAINING
+
     def resume(self, lifetime_s: float) -> None:
         """Takes over the parts that an earlier process on this host held at its end.
 
@@ -155,7 +161,7 @@
 
     def _update_parts(self, now: int) -> None:
         """Compares the parts that the list of hosts gives this host with those held."""
-        self.named.update(now, self.has_withdrawn)
+        self.named.update(now)
         named = {
             part
             for account in self._fleet.configuration.accounts_by_id.values()
@@ -173,7 +179,7 @@
             elif self._may_be_held_elsewhere(part, now, lease_end):
                 parts.want_again(part, now)
         self._share_by_account.clear()
-        if parts.wanted_since_by_part:
+        if parts.wanted_since_by_part or self.is_leaving:
             self._notify()
 
     def _may_resume(self, part: AccountPart, now: int) -> bool:
@@ -203,13 +209,8 @@
             listener()
 
     def refresh(self) -> None:
-        """Applies what time has changed: leases that ended, and leaving or staying."""
+        """Applies what time has changed: leases that ended or were waited out."""
         now = self._read_clock()
-        is_leaving = self._is_leaving()
-        if is_leaving is not self.has_withdrawn:
-            self.has_withdrawn = is_leaving
-            self._update_parts(now)
-            self._notify()
         has_lease = now < self.lease_end()
         if has_lease is not self._had_lease:
             self._had_lease = has_lease
--- a/mangospoke/rates/host_ranks.py
+++ b/mangospoke/rates/host_ranks.py
@@ -5,7 +5,7 @@
 """
 
 import itertools
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
 from mangospoke.ids import ClientAccountId, FailureDomainId, HostId
 from mangospoke.logservice.records import UpstreamAnnounced, UpstreamState
@@ -35,12 +35,11 @@
             tuple[FailureDomainId, ClientAccountId], list[HostId]
         ] = {}
 
-    def update(self, now: int, withdrawn: Collection[HostId] = ()) -> None:
+    def update(self, now: int) -> None:
         """Takes over the known hosts, and notes whose record has changed.
 
         Args:
             now: The current time in nanoseconds.
-            withdrawn: Hosts that leave, though their record doesn't say so yet.
         """
         before, self._known = self._known, self._fleet.upstreams_by_host
         for host_id, record in self._known.items():
@@ -49,9 +48,7 @@
         for host_id in before.keys() - self._known.keys():
             self._changed_at_by_host[host_id] = now
         present = frozenset(
-            host_id
-            for host_id, record in self._known.items()
-            if _is_present(record) and host_id not in withdrawn
+            host_id for host_id, record in self._known.items() if _is_present(record)
         )
         if before.keys() != self._known.keys():
             self._listed_by_domain = _group_by_domain(self._known.values())
--- a/mangospoke/rates/named_homes.py
+++ b/mangospoke/rates/named_homes.py
@@ -80,14 +80,13 @@
         self._ranks = HostRanks(fleet)
         self._ranked_domains_by_account: dict[ClientAccountId, list[str]] = {}
 
-    def update(self, now: int, has_withdrawn: bool = False) -> None:
+    def update(self, now: int) -> None:
         """Takes over the known hosts.
 
         Args:
             now: The current time in nanoseconds.
-            has_withdrawn: Whether this host leaves, whatever its record says.
         """
-        self._ranks.update(now, (self._host_id,) if has_withdrawn else ())
+        self._ranks.update(now)
         domains = self._declared_domains | self._ranks.domains
         if domains != self._domains:
             self._domains = domains
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -273,14 +273,6 @@
         self.stopping = True
         self._set_desired_state(UpstreamState.DRAINING, self._writer.record.slots)
 
-    def is_leaving(self) -> bool:
-        """Whether this host's record says, or is about to say, that it drains."""
-        return self._writer.record.state is UpstreamState.DRAINING
-
-    def desired_record(self) -> UpstreamAnnounced:
-        """Returns this host's record as it is, or is about to be, written."""
-        return self._writer.record
-
     def _set_desired_state(self, state: UpstreamState, slots: int) -> None:
         if self.stopping:
             state = UpstreamState.DRAINING
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -58,6 +58,7 @@
         affects_path: Whether the fault affects calls with a path.
         affects_topic: Whether the fault affects calls for a topic.
         era: Rises each time that the store comes back from a copy.
+        append_delay_s: Time that each append takes, in seconds.
     """
 
     def __init__(self):
@@ -67,6 +68,7 @@
         self.affects_path: Callable[[str], bool] = lambda path: True
         self.affects_topic: Callable[[str], bool] = lambda topic: True
         self.era = 1
+        self.append_delay_s = 0.0
         self._changed = trio.Event()
 
     def put(self, topic: str, key: str, value: bytes) -> None:
@@ -137,6 +139,7 @@
         if path == "/log-read":
             return await self._read(query)
         if path == "/log-append":
+            await trio.sleep(self.append_delay_s)
             return self._log_append(query, content)
         return _build_response(404, b"{}")
 
--- a/tests/rates/home_fleet.py
+++ b/tests/rates/home_fleet.py
@@ -46,7 +46,6 @@
     def __init__(self, home_fleet, host_id, earlier_lifetime_s):
         self.home_fleet = home_fleet
         self.host_id = host_id
-        self.is_leaving = False
         self.handlers_by_type = {}
         self.fleet = Fleet("site")
         self.list_freshness = Freshness(HOME_LEASE_NS / NS_PER_S, trio.current_time)
@@ -58,7 +57,6 @@
             home_fleet.excess,
             self.list_freshness,
             read_clock_ns,
-            lambda: self.is_leaving,
         )
         shares = LendingShares(self.homes.share_of, read_clock_ns())
         self.claimer = PartClaimer(
@@ -67,7 +65,6 @@
             self,
             self.homes,
             shares,
-            self.read_record,
             self.learn_host,
             read_clock_ns,
         )
@@ -95,15 +92,6 @@
         )
         self.list_freshness.confirm(trio.current_time())
 
-    def read_record(self):
-        """Returns the host's record as it is, or is about to be, written."""
-        record = self.home_fleet.records_by_host[self.host_id]
-        if not self.is_leaving or record.state is UpstreamState.DRAINING:
-            return record
-        return msgspec.structs.replace(
-            record, state=UpstreamState.DRAINING, sequence=record.sequence + 1
-        )
-
     def learn_host(self, record):
         known = self.fleet.upstreams_by_host.get(record.host_id)
         if known is not None and announcement_order(known) > announcement_order(record):
@@ -196,7 +184,6 @@
 
     async def restart_host(self, host_id, grace_s, down_s):
         """Stops a daemon as planned, and starts it again."""
-        self.hosts_by_id[host_id].is_leaving = True
         await trio.sleep(0.02)
         self.write_record(host_id, UpstreamState.DRAINING)
         await trio.sleep(grace_s)
--- a/tests/rates/test_homes.py
+++ b/tests/rates/test_homes.py
@@ -208,9 +208,9 @@
         (home_id,) = fleet.hosts_by_id["a0"].homes.named.other_homes(account) or ["a0"]
         home = fleet.hosts_by_id[home_id]
         assert await home.rates.admit(account) is None
-        home.is_leaving = True
+        fleet.write_record(home_id, UpstreamState.DRAINING)
         assert not home.homes.share_of(account).rate
-        home.is_leaving = False
+        fleet.write_record(home_id)
         # Another may hold it by now, so it has to be claimed.
         assert not home.homes.share_of(account).rate
         await trio.sleep(1)
