Daemons: the hosted daemon's guard and its silent domains are wired in modules of their own

HostedDaemon was one constructor of 200 lines. No behaviour is changed; tests/daemon, tests/docs and the tests of hosted daemons, evacuation, silent domains and cold upstreams pass (37).

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -10,7 +10,6 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-import trio
 from loguru import logger
 
 from mangospoke.conf.settings import Settings
@@ -20,16 +19,19 @@
     make_peer_connections,
     make_service_connections,
 )
+from mangospoke.daemon.hosted_guard import (
+    add_evacuation_gate,
+    apply_cold_limits,
+    follow_callees,
+    make_guard,
+)
 from mangospoke.daemon.hosted_rates import HostedRates
 from mangospoke.daemon.hosting import HostedSettings
 from mangospoke.daemon.operations import OperationsRequestHandler
 from mangospoke.daemon.platform_adapter import PlatformAdapter
+from mangospoke.daemon.silent_domains import follow_reachability
 from mangospoke.daemon.status import read_hosted_status
 from mangospoke.daemon.supervision import Service
-from mangospoke.guard.evacuation import EvacuationGate
-from mangospoke.guard.guard import Guard
-from mangospoke.guard.retry_arrivals import RetryArrivals
-from mangospoke.guard.retry_gate import RetryGate
 from mangospoke.hangups import HangUpMonitor
 from mangospoke.http.bodies import buffered_body
 from mangospoke.http.held_bytes import (
@@ -52,7 +54,7 @@
 from mangospoke.routing.balancer import Balancer
 from mangospoke.routing.ejection import Ejector
 from mangospoke.routing.probing import probe_ejected_hosts
-from mangospoke.routing.reachability import DomainReachability, ReachabilityChange
+from mangospoke.routing.reachability import DomainReachability
 from mangospoke.routing.reachability_watch import ReachabilityWatch
 from mangospoke.routing.retries import UnlimitedRetryBudget
 from mangospoke.shutdown import Shutdown
@@ -68,12 +70,6 @@
 """Part of `withdrawal_s` for which a host may serve without confirmation."""
 
 _MAX_REROUTES = 2
-_EVACUATION_NOTICE_RATIO = 0.15
-"""Part of `evacuation_s` in which the upstream of an evacuated domain still gets
-requests once its daemon knows. It may have learned late itself."""
-
-_DRAIN_NOTICE_RATIO = 0.35
-"""Part of `drain_s` in which new requests are still accepted."""
 
 
 class HostedDaemon:
@@ -98,26 +94,15 @@
         self.overload = OverloadDetector()
         self.decisions = DecisionLog(log, self.overload)
         self.decisions.read_proof_age_s = self.freshness.age_s
-        self.guard = Guard(
-            self.fleet,
-            settings.limits,
-            self.decisions,
-            platform.upstream_dialect,
-            guarantees.drain_s * _DRAIN_NOTICE_RATIO,
-            adapts_limit=False,
+        self.guard = make_guard(
+            hosted_settings, self.fleet, self.decisions, platform.upstream_dialect
         )
-        self._apply_cold_limits()
         self.evacuated_services = EvacuatedServices(
             self.fleet, hosted_settings.failure_domains
         )
-        self.evacuation_gate = EvacuationGate(
-            self.fleet.evacuations,
-            domain,
-            guarantees.evacuation_s * _EVACUATION_NOTICE_RATIO,
-            self.guard.refuse_queued,
+        self.evacuation_gate = add_evacuation_gate(
+            hosted_settings, self.fleet, self.guard
         )
-        self.guard.is_evacuated = self.evacuation_gate.is_closed
-        self.fleet.evacuations.listeners.append(self._handle_evacuation)
         self.registrar = HostRegistrar(
             settings,
             incarnation,
@@ -175,7 +160,7 @@
             shutdown,
             peers_retry=False,
         )
-        self._follow_reachability(dispatcher)
+        follow_reachability(self.reachability, self.peers, dispatcher, self.ejector)
         self._account_rates = HostedRates(
             hosted_settings,
             incarnation,
@@ -198,19 +183,8 @@
             self.guard.executions,
         )
         self.request_handler.record_callee = self.guard.route_callees.record_call
-        self.guard.is_behind_cut = balancer.is_behind_cut
-        callees = self.request_handler.callees
-        self.guard.read_downstream_delay_s = lambda: callees.delay_s(
-            balancer.delay_s, trio.current_time()
-        )
-        self.guard.retry_gate = RetryGate(
-            RetryArrivals(guarantees.retries),
-            lambda: balancer.count_upstreams(hosted_settings.upstream_service),
-            lambda: bool(callees.services(trio.current_time())),
-            lambda: any(
-                balancer.refuses_retries(service)
-                for service in callees.services(trio.current_time())
-            ),
+        follow_callees(
+            hosted_settings, self.guard, balancer, self.request_handler.callees
         )
         self.handle_heartbeat = platform.heartbeat_handler(self.registrar)
         self.connections = ConnectionContext(
@@ -252,7 +226,7 @@
         self.freshness.max_age_s = (
             hosted_settings.guarantees.withdrawal_s * _FRESHNESS_RATIO
         )
-        self._apply_cold_limits()
+        apply_cold_limits(self.guard, hosted_settings.guarantees)
         reloaded = replace(previous, guarantees=hosted_settings.guarantees)
         needs_restart = reloaded != hosted_settings
         logger.bind(event="reloaded", needs_restart=needs_restart).info(
@@ -260,31 +234,6 @@
             "; some changes require a restart" if needs_restart else "",
         )
 
-    def _follow_reachability(self, dispatcher: Dispatcher) -> None:
-        """Connects what learns of silent failure domains with what acts on them."""
-        reachability, peers = self.reachability, self.peers
-        peers.record_sent = lambda address: reachability.record_sent(
-            address, trio.current_time()
-        )
-        peers.record_heard = lambda address: reachability.record_heard(
-            address, trio.current_time()
-        )
-
-        def act(change: ReachabilityChange) -> None:
-            host_ids = [host.host_id for host in change.hosts]
-            if change.is_silent:
-                peers.close_idle([host.peer_address for host in change.hosts])
-                dispatcher.abandon_calls(host_ids)
-            else:
-                self.ejector.forget_hosts(host_ids)
-
-        reachability.listeners.append(act)
-
-    def _handle_evacuation(self) -> None:
-        """Has the upstream asked whether it turned cold, as it may have just before."""
-        if self.fleet.evacuations.is_evacuated(self.settings.host.failure_domain):
-            self.guard.cold_starts.request_check()
-
     def _is_known_service(self, service: ServiceName) -> bool:
         return (
             service == self.hosted_settings.upstream_service
@@ -298,11 +247,6 @@
         self.registrar.take_over(newest)
         self.registrar.check_written(newest, sent_at, era)
 
-    def _apply_cold_limits(self) -> None:
-        limits = self.hosted_settings.guarantees.cold
-        self.guard.cold_starts.max_excess_ratio = limits.max_excess_ratio
-        self.guard.cold_starts.max_excess_requests = limits.max_excess_requests
-
     async def answer_readiness(self, request: HttpRequest) -> HttpResponse:
         """Handles a readiness check: whether this host accepts requests of callers."""
         is_ready = (
