--- a/tests/control/conftest.py
+++ b/tests/control/conftest.py
@@ -1,8 +1,9 @@
-"""Fixture that starts control channels on loopback addresses."""
+"""Fixtures: an address of the test's own, and control channels that serve there."""
 
 import pytest
 import trio
 
+from mangospoke.bench.network import reserve_network
 from mangospoke.control.messages import Probe, ProbeResponse
 from mangospoke.control.transport import NngControlChannel
 from mangospoke.ids import HostId, Incarnation
@@ -22,6 +23,13 @@
         return ProbeResponse(HostId("h1"), Incarnation(1), 0)
 
 
+@pytest.fixture
+def address():
+    """An address at which no other test run on this machine listens."""
+    with reserve_network() as network:
+        yield f"{network.host_ip(0)}:7411"
+
+
 @pytest.fixture
 async def start_channel(nursery):
     """Makes control channels; one with an address also serves requests there."""
