Homes: a crashed host's rates are taken over only if its record has long said that it stays

Cause: the next process takes over what the one before held if that had run for 20 s. A process that has run for long, but whose record said "drains" a moment ago, may hold nothing: its successor does, and hears late that the host is back.

Change: the host's record says since when no record has said that it drains (`present_since_ms`, 0 in records of earlier releases); the 20 s count from there.

Evidence: tests/daemon/test_hosted_rates.py, with the real registrar, directory and rates: 2 of 3 fail on the commit before, all pass. 626 tests of daemon, docs, state, rates (homes), forensics and hosted daemons pass.

--- a/mangospoke/daemon/hosted_rates.py
+++ b/mangospoke/daemon/hosted_rates.py
@@ -81,5 +81,5 @@
         if stored is None or stored.daemon_incarnation >= self._incarnation:
             return
         if stored.state is not UpstreamState.DRAINING:
-            lifetime_ms = self._incarnation - stored.daemon_incarnation
-            self._homes.resume(lifetime_ms / 1000)
+            since_ms = max(stored.daemon_incarnation, stored.present_since_ms)
+            self._homes.resume((self._incarnation - since_ms) / 1000)
--- a/mangospoke/logservice/records.py
+++ b/mangospoke/logservice/records.py
@@ -147,6 +147,8 @@
             of the upstream may run. The daemon's in-memory state is lost with it.
         departures: Process runs of the upstream that have left for good, for the next
             daemon on this host.
+        present_since_ms: Unix milliseconds since which no record of the daemon has said
+            that it drains; 0 if unknown.
     """
 
     host_id: HostId
@@ -161,6 +163,7 @@
     sequence: WholeNumber = 0
     daemon_incarnation: _Incarnation = Incarnation(0)
     departures: tuple[Departure, ...] = ()
+    present_since_ms: WholeNumber = 0
 
 
 class UpstreamLeft(Record, frozen=True, kw_only=True, tag="upstream-left"):
--- a/mangospoke/rates/homes.py
+++ b/mangospoke/rates/homes.py
@@ -53,8 +53,8 @@
 
 _NO_SHARE = HeldShare()
 
-_MIN_EARLIER_LIFETIME_S = 20.0
-"""How long an earlier process must have been listed for its parts to be taken over: as
+_MIN_PRESENCE_S = 20.0
+"""How long an earlier process must have been present for its parts to be taken over: as
 long as a lease of a host that hasn't heard of it, and the time to write its record."""
 
 _RESUMPTION_NS = 5 * NS_PER_S
@@ -127,7 +127,7 @@
         own = self.named.host(self._host_id)
         return own is not None and own.state is UpstreamState.DRAINING
 
-    def resume(self, lifetime_s: float) -> None:
+    def resume(self, presence_s: float) -> None:
         """Takes over the parts that an earlier process on this host held at its end.
 
         It ended without leaving, so that every list named this host all the while, and
@@ -135,9 +135,10 @@
         silence of those that don't come back would else have to be waited out.
 
         Args:
-            lifetime_s: Seconds since that process began.
+            presence_s: Seconds since that process began, or since its record ceased to
+                say that it leaves. A successor may hold its parts for a lease longer.
         """
-        if lifetime_s >= _MIN_EARLIER_LIFETIME_S:
+        if presence_s >= _MIN_PRESENCE_S:
             self._resumes_until = self._read_clock() + _RESUMPTION_NS
 
     def _on_membership_change(self) -> None:
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -76,6 +76,7 @@
         self._logged_heartbeat: tuple[InstanceId, int, str] | None = None
         self._latest_heartbeat: Heartbeat | None = None
         self._sequence = 0
+        self._present_since_ms: int | None = incarnation
         self._writer = HostRecordWriter(
             incarnation, log, topic, self._make_record(UpstreamState.ABSENT, 0)
         )
@@ -282,6 +283,10 @@
 
     def _replace_desired_record(self, state: UpstreamState, slots: int) -> None:
         self._sequence += 1
+        if state is UpstreamState.DRAINING:
+            self._present_since_ms = None
+        elif self._present_since_ms is None:
+            self._present_since_ms = time.time_ns() // 1_000_000
         self._writer.replace(self._make_record(state, slots))
 
     def _make_record(self, state: UpstreamState, slots: int) -> UpstreamAnnounced:
@@ -302,6 +307,7 @@
             sequence=self._sequence,
             daemon_incarnation=self._incarnation,
             departures=self._departures.records(),
+            present_since_ms=self._present_since_ms or 0,
         )
 
     async def run(self) -> None:
