--- a/review/standins-2/machines.py
+++ b/review/standins-2/machines.py
@@ -13,11 +13,12 @@
 import subprocess
 import time
 import tomllib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from store import Store
-from wire import Connection, Request, Response, serve
+from wire import Connection, Request, Response, close_connections, serve
 
 ROOT = Path(__file__).resolve().parents[2]
 _PORTS = {"inbound": 8543, "outbound": 8548, "ready": 8546, "control": 8540}
@@ -25,6 +26,9 @@
 _STORE_PORT = 8545
 _PORT_RANGE = [7000, 7015]
 _HEARTBEAT_S = 1.5
+_CRASHED_S = 2.0
+"""Time after which a server that crashed is back."""
+
 BOUNDS = [
     "stable=3000ms",
     "ack=4000ms",
@@ -71,6 +75,8 @@
         state: What it says of itself in its heartbeats.
         filler: What follows the request's id in its answers.
         cut_every: Each so many answers, one is broken off; 0 for none.
+        crashes_on: The path of a request that crashes it; empty for none.
+        on_crash: Called with the machine when it crashes.
     """
 
     def __init__(self, machine: "Machine", service: str, work_s: float, slots: int):
@@ -83,7 +89,10 @@
         self.runs: list[Run] = []
         self.filler = b""
         self.cut_every = 0
-        self.acknowledged_at: float | None = None
+        self.crashes_on = ""
+        self.on_crash: Callable[[Machine], None] = lambda machine: None
+        self.is_down = False
+        self._listener: asyncio.Server | None = None
         self._instance = f"i-{random.randrange(16**8):08x}"
         self._born = time.time_ns() // 1_000_000
         self._sequence = 0
@@ -92,10 +101,42 @@
 
     async def start(self) -> None:
         """Serves requests at the machine's address, and begins to send heartbeats."""
-        await serve(self.machine.ip, _SERVER_PORT, self._handle)
+        await self._listen()
         self.machine.fleet.spawn(self._send_heartbeats())
 
-    async def _handle(self, request: Request) -> Response:
+    async def _listen(self) -> None:
+        self._listener = await serve(self.machine.ip, _SERVER_PORT, self._handle)
+
+    def end(self) -> None:
+        """Ends all connections at once, without a word."""
+        self.is_down = True
+        assert self._listener is not None
+        self._listener.close()
+        close_connections(self.machine.ip, _SERVER_PORT)
+
+    async def begin_anew(self, instance: str) -> None:
+        """Begins a new run, which knows nothing of before and hasn't said anything."""
+        self._instance = instance
+        self._born = time.time_ns() // 1_000_000
+        self._sequence = 0
+        self._running = 0
+        await self._listen()
+
+    async def _crash(self) -> None:
+        """Ends; a new run with another id is back later."""
+        self.end()
+        self.on_crash(self.machine)
+        await asyncio.sleep(_CRASHED_S)
+        await self.begin_anew(f"i-{random.randrange(16**8):08x}")
+        self.is_down = False
+        await self.send_heartbeat()
+
+    @property
+    def instance(self) -> str:
+        """The id of its present run."""
+        return self._instance
+
+    async def _handle(self, request: Request) -> Response | None:
         request_id = request.headers.get("attempt-id")
         expected = request.headers.get("expect-instance", self._instance)
         if expected != self._instance:
@@ -113,6 +154,9 @@
             request.headers.get("tenant", ""),
         )
         self.runs.append(run)
+        if self.crashes_on and request.target == self.crashes_on:
+            self.machine.fleet.spawn(self._crash())
+            return None
         self._running += 1
         try:
             await asyncio.sleep(self.work_s)
@@ -132,14 +176,14 @@
     async def _send_heartbeats(self) -> None:
         while True:
             sent_at = time.monotonic()
-            await self.send_heartbeat()
+            if not self.is_down:
+                await self.send_heartbeat()
             pause_s = _HEARTBEAT_S + sent_at - time.monotonic()
             await asyncio.sleep(max(0.1, pause_s))
 
-    async def send_heartbeat(self) -> bool:
-        """Sends what it says of itself now; returns whether it was acknowledged."""
+    def make_heartbeat(self) -> bytes:
+        """Returns the body of the next heartbeat."""
         self._sequence += 1
-        state = self.state
         body = {
             "address": f"{self.machine.ip}:{_SERVER_PORT}",
             "born": self._born,
@@ -149,21 +193,24 @@
                 "zone": self.machine.zone,
                 "slots": self.slots,
             },
-            "status": {"state": state, "seq": self._sequence, "coldLeft": "0ms"},
+            "status": {"state": self.state, "seq": self._sequence, "coldLeft": "0ms"},
         }
+        return json.dumps(body).encode()
+
+    async def send_heartbeat(self) -> bool:
+        """Sends what it says of itself now; returns whether it was acknowledged."""
+        return await self.say("PUT", self.make_heartbeat())
+
+    async def say(self, method: str, body: bytes = b"") -> bool:
+        """Sends a heartbeat or a deregistration; returns whether it's acknowledged."""
         connection = Connection(self.machine.address("control"))
-        response = await connection.send(
-            "PUT",
-            f"/instances/{self._instance}",
-            {"Host": "control", "Content-Type": "application/json"},
-            json.dumps(body).encode(),
-            timeout_s=1.0,
-        )
+        fields = {"Host": "control"}
+        if body:
+            fields["Content-Type"] = "application/json"
+        target = f"/instances/{self._instance}"
+        response = await connection.send(method, target, fields, body, timeout_s=1.0)
         connection.close()
-        is_acknowledged = response is not None and 200 <= response.status < 300
-        if is_acknowledged and state == "draining" and self.acknowledged_at is None:
-            self.acknowledged_at = time.monotonic()
-        return is_acknowledged
+        return response is not None and 200 <= response.status < 300
 
 
 class Machine:
--- a/review/standins-2/wire.py
+++ b/review/standins-2/wire.py
@@ -10,6 +10,9 @@
 _BEFORE_CUT_S = 0.02
 """Time in which the first part of a response that is cut off reaches the other side."""
 
+_WRITERS: dict[tuple[str, int], set[asyncio.StreamWriter]] = {}
+"""The connections that are open at each address."""
+
 _SILENT: list[asyncio.Future[None]] = []
 """What connections that stay silent wait for; kept, as nothing else refers to them."""
 
@@ -74,6 +77,7 @@
     async def serve_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        _WRITERS.setdefault((ip, port), set()).add(writer)
         try:
             while True:
                 first, headers = await _read_head(reader)
@@ -96,6 +100,7 @@
             # Also cancelled at the end of the case, when nobody waits for it.
             pass
         finally:
+            _WRITERS.get((ip, port), set()).discard(writer)
             writer.close()
 
     return await asyncio.start_server(
@@ -103,6 +108,12 @@
     )
 
 
+def close_connections(ip: str, port: int) -> None:
+    """Ends all connections that were accepted at an address."""
+    for writer in _WRITERS.pop((ip, port), set()):
+        writer.transport.abort()
+
+
 def _encode_response(response: Response) -> bytes:
     lines = [f"HTTP/1.1 {response.status} Reason"]
     lines += [f"{name}: {value}" for name, value in response.headers.items()]
