Registrar: a deregistration binds the run that sent it, heard or not

Cause: a deregistration names no start. It was taken for the latest run that was heard. An upstream that had started again under its old instance, with its only heartbeat late, was acknowledged for the run before, and its late heartbeat brought it back. A response that says 'leaving' was booked in the same way.

Change: messages without a start stand for all runs of the instance that started until now. A deregistration after an acknowledged one is no repetition of it, so that its own record is waited for. A run that starts after the departure is used as before.

--- a/mangospoke/state/departure_records.py
+++ b/mangospoke/state/departure_records.py
@@ -36,28 +36,28 @@
         self._departures = departures
         self._writer = writer
         self._stored: tuple[Departure, ...] = ()
-        self._deregistered: Departure | None = None
+        self._unacknowledged: Departure | None = None
 
     def restore(self, stored: tuple[Departure, ...]) -> None:
         """Takes over what an earlier process on this host recorded."""
         self._stored = stored
         self._departures.restore(stored)
 
-    def make_unheard(self, instance: InstanceId) -> tuple[Departure, Departure]:
-        """Returns the departure of a run that this process hasn't heard of.
+    def make_deregistered(self, departure: Departure) -> Departure:
+        """Returns the departure to be recorded before a message is acknowledged.
 
-        Its deregistration doesn't say when the run started, so all runs of the instance
-        that started until now have left.
+        Args:
+            departure: The departure that a deregistration stands for.
 
         Returns:
-            The departure, and the one that has to be recorded before the message is
-            acknowledged. That is the one which this message repeats, if it does: else a
-            repeated message would never be acknowledged while the log service is slow.
+            The departure that this message repeats, if it does: else a repeated message
+            would never be acknowledged while the log service is slow.
         """
-        departure = Departure(instance, time.time_ns() // 1_000_000)
-        if self._deregistered is None or not _repeats(departure, self._deregistered):
-            self._deregistered = departure
-        return departure, self._deregistered
+        repeated = self._unacknowledged
+        if repeated is not None and _repeats(departure, repeated):
+            return repeated
+        self._unacknowledged = departure
+        return departure
 
     async def wait_recorded(self, departure: Departure) -> bool:
         """See `HeartbeatReceiver.wait_recorded`."""
@@ -67,6 +67,9 @@
             await self._writer.wait_until_written(
                 lambda record: covers(record.departures, departure)
             )
+            if departure == self._unacknowledged:
+                # One that is acknowledged is not repeated: the next is a later run's.
+                self._unacknowledged = None
             return True
         logger.bind(
             event="departure_unrecorded",
@@ -84,6 +87,21 @@
         )
 
 
+def present_departure(instance: InstanceId, heard_start_ms: int = 0) -> Departure:
+    """Returns the departure of the run of an instance that runs now.
+
+    Messages that don't say when their run started may come from a later run than the
+    latest that was heard, as heartbeats may be late or lost. So all runs of the
+    instance that started until now have left.
+
+    Args:
+        instance: The instance.
+        heard_start_ms: Start of its latest run that was heard, in Unix milliseconds;
+            the upstream's clock may be ahead of this host's.
+    """
+    return Departure(instance, max(time.time_ns() // 1_000_000, heard_start_ms))
+
+
 def _repeats(departure: Departure, earlier: Departure) -> bool:
     elapsed_ms = departure.last_start_ms - earlier.last_start_ms
     return departure.instance == earlier.instance and elapsed_ms <= _MAX_REPETITION_MS
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -25,7 +25,7 @@
     UpstreamAnnounced,
     UpstreamState,
 )
-from mangospoke.state.departure_records import DepartureRecords
+from mangospoke.state.departure_records import DepartureRecords, present_departure
 from mangospoke.state.departures import Departures
 from mangospoke.state.heartbeats import Heartbeat, HeartbeatCheck, HeartbeatState
 from mangospoke.state.host_directory import find_host
@@ -180,23 +180,25 @@
     def handle_deregistration(self, instance: InstanceId) -> Departure:
         """Processes that a process run of the upstream has left.
 
-        The message doesn't say when the run started. If this process hasn't heard of
-        it, all runs of the instance that started until now have left.
+        The message doesn't say when the run started, and it may be a later one than the
+        latest that was heard. So all runs of the instance that started until now have
+        left.
 
         Returns:
             The departure that has to be recorded before it is acknowledged.
         """
         latest = self._latest_heartbeat
-        if latest is None or latest.instance != instance:
-            departure, awaited = self._departure_records.make_unheard(instance)
-            self._add_departure(instance, departure.last_start_ms)
-            return awaited
-        self.handle_heartbeat(
-            dataclasses.replace(
-                latest, state=HeartbeatState.LEAVING, sequence=latest.sequence + 1
+        heard_start_ms = 0
+        if latest is not None and latest.instance == instance:
+            heard_start_ms = latest.started_at_ms
+            self.handle_heartbeat(
+                dataclasses.replace(
+                    latest, state=HeartbeatState.LEAVING, sequence=latest.sequence + 1
+                )
             )
-        )
-        return latest.departure()
+        departure = present_departure(instance, heard_start_ms)
+        self._add_departure(instance, departure.last_start_ms)
+        return self._departure_records.make_deregistered(departure)
 
     def _add_departure(self, instance: InstanceId, last_start_ms: int) -> None:
         if not self._departures.add(instance, last_start_ms):
@@ -263,10 +265,16 @@
         self._set_desired_state(UpstreamState.DRAINING, heartbeat.slots)
 
     def _handle_leaving(self) -> None:
-        """Takes the host out of routing because its upstream says that it leaves."""
+        """Takes the host out of routing because its upstream says that it leaves.
+
+        A response names no start either.
+        """
         announcement = self._guard.announcement
         if announcement is not None and announcement.instance is not None:
-            self._add_departure(announcement.instance, announcement.started_at_ms)
+            departure = present_departure(
+                announcement.instance, announcement.started_at_ms
+            )
+            self._add_departure(departure.instance, departure.last_start_ms)
         self._set_desired_state(UpstreamState.DRAINING, self._writer.record.slots)
 
     def stop(self) -> None:
