State: a daemon reads in place by the age of its proof, not by who answers

Cause: a daemon counted its silence from the latest useful answer of those it follows, and an answer was useful with a proof of up to 2 s. A reader to which only the store is silent goes on answering, so that 1.3 s began up to 2 s late. That someone answers was taken for news.

Change: all delays count from the age of the proof that is held. Delays after failed reads grow. Whoever is answered goes on for 10 s. Proofs that come between two questions are told; a read that a record ended makes the next wait shorter; the list of hosts goes by its own proof. Answers to followers are a module of their own (state/follow_responder.py).

--- a/mangospoke/control/messages.py
+++ b/mangospoke/control/messages.py
@@ -184,12 +184,15 @@
         era: Era of the log service that `next_offset` belongs to.
         next_offset: Offset up to which the sender has all hosts' records.
         wait_ms: Milliseconds for which the responder waits for a change.
+        proof_age_ms: Milliseconds since the sender's configuration was last known to be
+            current; None if it never was.
     """
 
     configuration: GetConfiguration
     era: int | None
     next_offset: int
     wait_ms: int
+    proof_age_ms: float | None = None
 
 
 class StateFollowed(Message, frozen=True, tag="state-followed"):
--- a/mangospoke/logservice/keyed.py
+++ b/mangospoke/logservice/keyed.py
@@ -17,8 +17,9 @@
 from mangospoke.logservice.era import LogEra
 
 _MIN_RETRY_DELAY_S = 0.1
-_MAX_RETRY_DELAY_S = 0.8
-_PERMISSION_CHECK_INTERVAL_S = 0.1
+_MAX_RETRY_DOUBLINGS = 3
+_MIN_PERMISSION_CHECK_INTERVAL_S = 0.01
+_MAX_PERMISSION_CHECK_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +129,10 @@
             trio's clock.
         may_read: Whether the topic may be read now. It is read in any case until it
             was read once.
-        retry_delay_s: Returns the least delay after a failed read, in seconds.
+        seconds_until_may_read: Returns the time until the topic may be read, as far as
+            is known.
+        retry_delay_s: Returns the least delay after a failed read, in seconds, for the
+            number of failed reads in a row.
         batch_delay_s: Delay after a read that brought records, so that changes that
             come close together are read at once.
     """
@@ -149,7 +153,8 @@
         )
         self.newest_sent_at = -math.inf
         self.may_read: Callable[[], bool] = lambda: True
-        self.retry_delay_s: Callable[[], float] = lambda: 0.0
+        self.seconds_until_may_read: Callable[[], float] = lambda: math.inf
+        self.retry_delay_s: Callable[[int], float] = lambda failure_count: 0.0
         self.batch_delay_s = 0.0
         self._log = log
         self._topic = topic
@@ -158,16 +163,16 @@
         self.next_offset: int | None = None
         self.era: int | None = None
         self._lost_offset: int | None = None
-        self._retry_delay_s = _MIN_RETRY_DELAY_S
-        self._is_unavailable = False
+        self._failure_count = 0
         self._is_resting = False
+        self._confirmed_at = -math.inf
 
     async def run(self) -> None:
         """Reads the topic until cancelled."""
         while True:
             if self.next_offset is not None and not self.may_read():
                 self._is_resting = True
-                await trio.sleep(_PERMISSION_CHECK_INTERVAL_S)
+                await trio.sleep(self._permission_check_interval_s())
                 continue
             try:
                 await self._read_next()
@@ -182,9 +187,19 @@
                 self._start_over()
             except LogUnavailableError as error:
                 self._record_failure(error)
-                delay_s = self._retry_delay_s * random.uniform(0.5, 1.0)
-                await trio.sleep(max(delay_s, self.retry_delay_s()))
-                self._retry_delay_s = min(2 * self._retry_delay_s, _MAX_RETRY_DELAY_S)
+                await trio.sleep(self._delay_after_failure_s())
+
+    def _permission_check_interval_s(self) -> float:
+        remaining_s = self.seconds_until_may_read()
+        return min(
+            max(remaining_s, _MIN_PERMISSION_CHECK_INTERVAL_S),
+            _MAX_PERMISSION_CHECK_INTERVAL_S,
+        )
+
+    def _delay_after_failure_s(self) -> float:
+        doublings = min(self._failure_count - 1, _MAX_RETRY_DOUBLINGS)
+        delay_s = _MIN_RETRY_DELAY_S * 2**doublings * random.uniform(0.5, 1.0)
+        return max(delay_s, self.retry_delay_s(self._failure_count))
 
     async def _read_next(self) -> None:
         if self.next_offset is not None and self._log.era.current != self.era:
@@ -204,7 +219,8 @@
             self.handle_newest(batch.records)
         if batch.records:
             self.handle_records(batch.records)
-        self.confirm(sent_at + batch.waited_s)
+        self._confirmed_at = sent_at + batch.waited_s
+        self.confirm(self._confirmed_at)
         if batch.records and not is_complete:
             await trio.sleep(self.batch_delay_s)
 
@@ -212,11 +228,21 @@
         if self.next_offset is None:
             self.newest_sent_at = trio.current_time()
             return await self._log.read_newest(self._topic)
-        # After a failure or a rest the state is wanted at once, not after a wait.
-        is_late = self._is_unavailable or self._is_resting
-        wait_ms = 0 if is_late else self._wait_ms
+        wait_ms = self._next_wait_ms()
         return await self._log.read(self._topic, self.next_offset, wait_ms)
 
+    def _next_wait_ms(self) -> int:
+        """Returns how long the next read may wait for a record.
+
+        After a failure or a rest the state is wanted at once. A read that was ended by
+        a record proves the state of when it was sent only, so the next one waits less
+        long: a proof never gets older than the longest wait.
+        """
+        if self._failure_count or self._is_resting:
+            return 0
+        age_ms = (self._read_clock() - self._confirmed_at) * 1000
+        return max(0, math.floor(self._wait_ms - age_ms))
+
     def _is_of_present_era(self, batch: KeyedBatch) -> bool:
         """Whether a batch is of the era of the offset that it was read from."""
         if batch.era != self._log.era.current:
@@ -248,17 +274,16 @@
         self._lost_offset = None
 
     def _record_failure(self, error: LogUnavailableError) -> None:
-        if not self._is_unavailable:
-            self._is_unavailable = True
+        self._failure_count += 1
+        if self._failure_count == 1:
             logger.bind(event="log_lost", topic=self._topic).warning(
                 "topic {} can't be read: {}", self._topic, error
             )
 
     def _record_success(self) -> None:
-        self._retry_delay_s = _MIN_RETRY_DELAY_S
         self._is_resting = False
-        if self._is_unavailable:
-            self._is_unavailable = False
+        if self._failure_count:
+            self._failure_count = 0
             logger.bind(event="log_regained", topic=self._topic).info(
                 "topic {} can be read again", self._topic
             )
--- a/mangospoke/state/keyed_following.py
+++ b/mangospoke/state/keyed_following.py
@@ -18,6 +18,7 @@
     ConfigurationSource,
 )
 from mangospoke.state.fleet import Fleet
+from mangospoke.state.follow_responder import FollowResponder
 from mangospoke.state.freshness import Freshness, read_boot_clock
 from mangospoke.state.host_directory import HostDirectory
 from mangospoke.state.peer_following import PeerFollower
@@ -110,7 +111,7 @@
             self._handle_operator_records,
             _CONFIGURATION_POLL_WAIT_MS,
             read_clock,
-            self.configuration.confirm,
+            self._confirm_configuration,
         )
         self.configuration_follower.handle_newest = self._handle_newest_of_operator
         self.hosts_follower = KeyedFollower(
@@ -131,7 +132,6 @@
             _READERS_PER_DOMAIN,
         )
         self.peers = PeerFollower(
-            fleet,
             topology,
             control,
             self.configuration,
@@ -139,11 +139,21 @@
             freshness,
             read_clock,
         )
+        FollowResponder(
+            fleet, control, self.configuration, directory, freshness, read_clock
+        )
         self.configuration_follower.may_read = self.peers.reads_configuration
+        self.configuration_follower.seconds_until_may_read = (
+            self.peers.seconds_until_reads
+        )
         self.hosts_follower.may_read = self.peers.reads_hosts
         for follower in (self.configuration_follower, self.hosts_follower):
             follower.retry_delay_s = self.peers.log_retry_delay_s
 
+    def _confirm_configuration(self, at: float) -> None:
+        self.configuration.confirm(at)
+        self.peers.handle_log_answer()
+
     def _handle_newest_of_operator(self, records: Sequence[KeyedRecord]) -> None:
         follower = self.configuration_follower
         self._evacuations.handle_newest(
--- a/mangospoke/state/peer_following.py
+++ b/mangospoke/state/peer_following.py
@@ -8,12 +8,14 @@
 true age.
 
 The ranks next to the reader also ask a reader of another failure domain from time to
-time. So a domain whose reader is silent keeps hearing of changes and has proofs, and
-makes no calls to the log service for it.
-
-A daemon whose source is silent, or has no recent proof, follows another. One that has
-heard nothing useful for some time reads the log service itself, each after another
-delay, so that not all do so at once.
+time, and often once their proof is old. So a domain whose reader is silent keeps
+hearing of changes and has proofs.
+
+That someone answers says nothing about how much it knows: the log service may be
+silent to a reader that goes on answering its followers. So all delays count from the
+latest proof that the configuration is current, not from the latest answer. A daemon
+whose proof gets old follows those that read the log service before it would do so
+itself (`reading_in_place`), and reads it when their proofs don't come in time either.
 """
 
 import math
@@ -24,18 +26,13 @@
 from loguru import logger
 
 from mangospoke.control.interface import ControlChannel, ControlError
-from mangospoke.control.messages import (
-    FollowState,
-    HostRecord,
-    Message,
-    StateFollowed,
-)
-from mangospoke.ids import HostId
+from mangospoke.control.messages import FollowState, StateFollowed
 from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.state.configuration_source import ConfigurationSource
-from mangospoke.state.fleet import Fleet
+from mangospoke.state.follow_responder import finite_ms
 from mangospoke.state.freshness import Freshness, read_boot_clock
 from mangospoke.state.host_directory import HostDirectory
+from mangospoke.state.reading_in_place import ReadingTimes, log_retry_delay_s
 from mangospoke.state.topology import DomainTopology
 
 _WAIT_MS = 1_100
@@ -61,40 +58,30 @@
 """Pause between two questions, so that changes that come close together are told once.
 """
 
-_MIN_PROOF_STEP_S = 0.3
-"""A proof that is later by less than this isn't passed on by itself."""
-
-_MAX_SOURCE_AGE_S = 2.0
-"""Age of a source's proof from which on another source is tried."""
+_PROOF_CHECK_DELAY_S = 0.01
+"""Time after which a proof that gets old now is old."""
 
-_MIN_SILENCE_S = 1.3
-_SILENCE_PER_RANK_S = 0.25
-"""Time without a useful answer after which the first daemon that isn't a reader reads
-the log service in the readers' place, and how much later each next one does."""
+_MAX_SOURCE_AGE_S = 1.15
+"""Age of a proof from which on another source is tried. Readers have a newer one each
+second."""
 
-_MIN_LAST_SILENCE_S = 2.8
-_MAX_SILENCE_S = 3.8
-"""The same for daemons of high ranks, each at a random time: less than that after which
-no key is accepted."""
+_URGENT_FOLLOWERS_PER_DOMAIN = 3
+_URGENT_LEADERS_PER_DOMAIN = 4
+_URGENT_REMOTE_INTERVAL_S = 0.2
+_MAX_URGENT_AGE_S = 2.5
+"""While the proof is old: ranks that ask other domains, ranks that they ask there, and
+the pause between two such questions; and the age from which on questions are as rare as
+before, since the log service seems silent to all."""
 
 _START_S = 1.0
 """Time after the start in which other daemons needn't have told anything yet."""
 
-_MAX_READER_AGE_S = 6.0
+_MAX_READER_HOSTS_AGE_S = 6.0
 """Age of the last proof that a reader's list of hosts is complete from which on it
 follows those that read in its place. It polls the list for five seconds."""
 
-_SUBSTITUTES_PER_DOMAIN = 2
-_SUBSTITUTE_S = 10.0
-"""Time for which the first daemons that began to read in the readers' place go on."""
-
-_HOSTS_SILENCE_RATIO = 3.0
-"""The same for the hosts' records, which are less urgent, as a multiple. The first that
-read in the readers' place read them too, since the leases of homes live on that."""
-
-_MIN_LOG_RETRY_DELAY_S = 2.0
-_MAX_LOG_RETRY_DELAY_S = 4.0
-"""Delay after a failed read of the log service by a daemon that isn't a reader."""
+_IN_PLACE_S = 10.0
+"""Time for which a daemon goes on reading in the readers' place, and is followed."""
 
 
 class PeerFollower:
@@ -107,7 +94,6 @@
 
     def __init__(
         self,
-        fleet: Fleet,
         topology: DomainTopology,
         control: ControlChannel,
         configuration: ConfigurationSource,
@@ -115,10 +101,9 @@
         freshness: Freshness,
         read_clock: Callable[[], float] = read_boot_clock,
     ) -> None:
-        """Initializes the follower and registers its control message handler.
+        """Initializes the follower.
 
         Args:
-            fleet: The fleet state, which tells of new configurations and evacuations.
             topology: Whom to follow.
             control: Control channel to the peers.
             configuration: The configuration and what peers say of it.
@@ -133,79 +118,119 @@
         self._directory = directory
         self._freshness = freshness
         self._read_clock = read_clock
-        self._useful_at = read_clock() + _START_S
-        self._last_silence_s = random.uniform(_MIN_LAST_SILENCE_S, _MAX_SILENCE_S)
-        self._substitute_until = -math.inf
-        self._is_substitute = False
-        self._changed = trio.Event()
-        control.handlers_by_type[FollowState] = self._handle_question
-        fleet.configuration_listeners.append(self._wake_waiters)
-        fleet.evacuations.listeners.append(self._wake_waiters)
-        directory.listeners.append(self._wake_waiters)
-        freshness.listeners.append(self._wake_waiters)
+        self._times = ReadingTimes()
+        self._quiet_until = read_clock() + _START_S
+        self._in_place_until = -math.inf
+        self._is_in_place = False
+        self._is_first_answer_due = False
 
     def reads_configuration(self) -> bool:
         """Whether this daemon reads the configuration from the log service now."""
         if self._topology.is_reader():
             return True
-        now = self._read_clock()
-        is_silent = now - self._useful_at > self._max_silence_s()
-        if is_silent and self._rank() < _SUBSTITUTES_PER_DOMAIN:
-            self._substitute_until = now + _SUBSTITUTE_S
-        self._note_substitute(is_silent or now < self._substitute_until)
-        return self._is_substitute
-
-    def _note_substitute(self, is_substitute: bool) -> None:
-        if is_substitute == self._is_substitute:
-            return
-        self._is_substitute = is_substitute
-        logger.bind(
-            event="log_read_in_place" if is_substitute else "log_left_to_readers",
-            proof_age_s=round(self._freshness.age_s(), 3),
-        ).info(
-            "this daemon {} the log service though it is no reader of its domain",
-            "reads" if is_substitute else "no longer reads",
-        )
+        is_late = self.seconds_until_reads() < 0
+        self._set_in_place(is_late or self._read_clock() < self._in_place_until)
+        return self._is_in_place
 
     def reads_hosts(self) -> bool:
         """Whether this daemon reads the hosts' records from the log service now."""
-        if self._topology.is_reader() or self._is_first_substitute():
+        if self._topology.is_reader() or self._read_clock() < self._in_place_until:
             return True
-        silence_s = self._read_clock() - self._useful_at
-        return silence_s > self._max_silence_s() * _HOSTS_SILENCE_RATIO
+        max_age_s = self._times.max_hosts_proof_age_s(*self._rank_of_count())
+        return self._hosts_proof_age_s() > max_age_s
 
-    def _is_first_substitute(self) -> bool:
-        return self._is_substitute and self._rank() < _SUBSTITUTES_PER_DOMAIN
+    def seconds_until_reads(self) -> float:
+        """Returns the time until it reads the configuration if it hears nothing."""
+        max_age_s = self._times.max_proof_age_s(*self._rank_of_count())
+        return max_age_s - self._proof_age_s()
 
-    def _max_silence_s(self) -> float:
-        silence_s = _MIN_SILENCE_S + self._rank() * _SILENCE_PER_RANK_S
-        return min(silence_s, self._last_silence_s)
+    def handle_log_answer(self) -> None:
+        """Learns that the log service answered this daemon's read.
 
-    def _rank(self) -> int:
-        """This daemon's rank among those of its domain that aren't readers, from 0."""
-        return self._topology.position() - self._topology.reader_count()
+        One that had to read in place goes on for some time, for those that follow it.
+        """
+        if self._is_first_answer_due:
+            self._is_first_answer_due = False
+            self._in_place_until = self._read_clock() + _IN_PLACE_S
+
+    def log_retry_delay_s(self, failure_count: int) -> float:
+        """Returns the least delay after a failed read of the log service, in seconds.
 
-    def log_retry_delay_s(self) -> float:
-        """Returns the delay after a failed read of the log service, in seconds."""
+        Args:
+            failure_count: Number of failed reads in a row, from 1.
+        """
         if self._topology.is_reader():
             return 0.0
-        return random.uniform(_MIN_LOG_RETRY_DELAY_S, _MAX_LOG_RETRY_DELAY_S)
+        return log_retry_delay_s(failure_count)
+
+    def _set_in_place(self, is_in_place: bool) -> None:
+        if is_in_place == self._is_in_place:
+            return
+        self._is_in_place = self._is_first_answer_due = is_in_place
+        logger.bind(
+            event="log_read_in_place" if is_in_place else "log_left_to_readers",
+            proof_age_s=round(self._freshness.age_s(), 3),
+        ).info(
+            "this daemon {} the log service though it is no reader of its domain",
+            "reads" if is_in_place else "no longer reads",
+        )
+
+    def _proof_age_s(self) -> float:
+        """Age of the configuration's proof; a daemon that starts has time for one."""
+        since = max(self._freshness.confirmed_at, self._quiet_until)
+        return self._read_clock() - since
+
+    def _hosts_proof_age_s(self) -> float:
+        since = max(self._directory.freshness.confirmed_at, self._quiet_until)
+        return self._read_clock() - since
+
+    def _rank_of_count(self) -> tuple[int, int]:
+        """Returns this daemon's rank among those that aren't readers, and their number.
+
+        A reader's rank counts as the first one.
+        """
+        rank_count = len(self._topology.ranked_addresses())
+        rank_count -= self._topology.reader_count()
+        return max(0, self._topology.rank()), rank_count
 
     async def run(self) -> None:
         """Follows other daemons until cancelled."""
         async with trio.open_nursery() as nursery:
             for attempt in _FIRST_ATTEMPTS:
                 nursery.start_soon(self._follow_source, attempt)
+                nursery.start_soon(self._follow_stand_ins, attempt)
             nursery.start_soon(self._follow_remote_readers)
 
     async def _follow_remote_readers(self) -> None:
         while True:
             interval_s = _REMOTE_INTERVAL_S * random.uniform(0.8, 1.2)
-            is_follower = 0 <= self._rank() < _REMOTE_FOLLOWERS_PER_DOMAIN
-            address = self._topology.remote_reader() if is_follower else None
+            address = self._remote_source()
             if address is not None and not await self._follow(address, 0):
                 interval_s = _RETRY_DELAY_S
-            await trio.sleep(interval_s)
+            await self._pause_remote(interval_s)
+
+    def _remote_source(self) -> str | None:
+        """Returns whom to ask in other failure domains now, or None."""
+        if self._asks_remote_urgently():
+            return self._topology.remote_leader(_URGENT_LEADERS_PER_DOMAIN)
+        if 0 <= self._topology.rank() < _REMOTE_FOLLOWERS_PER_DOMAIN:
+            return self._topology.remote_leader(1)
+        return None
+
+    def _asks_remote_urgently(self) -> bool:
+        is_follower = 0 <= self._topology.rank() < _URGENT_FOLLOWERS_PER_DOMAIN
+        return is_follower and self._is_proof_old()
+
+    async def _pause_remote(self, interval_s: float) -> None:
+        """Pauses between two questions, less long once the proof gets old."""
+        now = self._read_clock()
+        until, urgent_from = now + interval_s, now + _URGENT_REMOTE_INTERVAL_S
+        while now < until:
+            if now >= urgent_from and self._asks_remote_urgently():
+                return
+            next_check_at = max(now + self._seconds_until_proof_is_old(), urgent_from)
+            await trio.sleep(min(next_check_at, until) - now)
+            now = self._read_clock()
 
     async def _follow_source(self, first_attempt: int) -> None:
         attempt = first_attempt
@@ -224,9 +249,43 @@
         """Returns whom to follow now; None if this daemon reads itself."""
         if not self._topology.is_reader():
             return self._topology.source(attempt)
-        if self._directory.freshness.age_s() < _MAX_READER_AGE_S:
+        if self._directory.freshness.age_s() < _MAX_READER_HOSTS_AGE_S:
             return None
-        return self._topology.substitute(attempt % _SUBSTITUTES_PER_DOMAIN)
+        return self._topology.stand_in(attempt)
+
+    async def _follow_stand_ins(self, first_attempt: int) -> None:
+        """Follows those that read in the readers' place, while there are some.
+
+        A source that doesn't answer is waited for beside this, not before.
+        """
+        attempt = first_attempt
+        follow_until = -math.inf
+        while True:
+            is_old = self._is_proof_old()
+            address = self._topology.stand_in(attempt)
+            if address is None or not (is_old or self._read_clock() < follow_until):
+                attempt = first_attempt
+                await trio.sleep(self._seconds_until_proof_is_old())
+            elif await self._follow(address, _WAIT_MS):
+                if is_old:
+                    follow_until = self._read_clock() + _IN_PLACE_S
+                await trio.sleep(_MIN_INTERVAL_S)
+            else:
+                attempt += 1
+                await trio.sleep(_RETRY_DELAY_S * random.uniform(0.5, 1.5))
+
+    def _is_proof_old(self) -> bool:
+        """Whether others than the usual sources are asked for a newer proof.
+
+        It isn't once the log service seems silent to all.
+        """
+        return _MAX_SOURCE_AGE_S < self._proof_age_s() < _MAX_URGENT_AGE_S
+
+    def _seconds_until_proof_is_old(self) -> float:
+        remaining_s = _MAX_SOURCE_AGE_S - self._proof_age_s()
+        if remaining_s < 0:
+            return _ROLE_CHECK_INTERVAL_S
+        return remaining_s + _PROOF_CHECK_DELAY_S
 
     async def _follow(self, address: str, wait_ms: int) -> bool:
         """Asks a daemon once; returns whether its answer was useful.
@@ -241,6 +300,7 @@
             self._directory.era,
             self._directory.next_offset,
             wait_ms,
+            finite_ms(self._freshness.age_s()),
         )
         timeout_s = wait_ms / 1000 + _ANSWER_TIMEOUT_S
         try:
@@ -251,10 +311,7 @@
             logger.bind(event="source_silent", address=address).debug("{}", error)
             return False
         self._apply(reply, asked_at)
-        if not 0 <= reply.configuration.age_ms <= _MAX_SOURCE_AGE_S * 1000:
-            return False
-        self._useful_at = self._read_clock()
-        return True
+        return 0 <= reply.configuration.age_ms <= _MAX_SOURCE_AGE_S * 1000
 
     def _apply(self, reply: StateFollowed, asked_at: float) -> None:
         # The question was held in between, so the age is counted from the end of that.
@@ -274,51 +331,3 @@
             self._directory.freshness.confirm(
                 asked_at + (reply.held_ms - reply.hosts_age_ms) / 1000
             )
-
-    async def _handle_question(self, question: FollowState) -> Message:
-        asked_at = self._read_clock()
-        proof_at = self._freshness.confirmed_at
-        with trio.move_on_after(question.wait_ms / 1000):
-            while not self._has_news(question, proof_at):
-                await self._changed.wait()
-        is_complete = self._is_of_later_era(question)
-        records: Sequence[KeyedRecord] = ()
-        if is_complete or question.era == self._directory.era:
-            records = self._directory.records_from(
-                0 if is_complete else question.next_offset
-            )
-        return StateFollowed(
-            configuration=self._configuration.answer(question.configuration),
-            held_ms=(self._read_clock() - asked_at) * 1000,
-            era=self._directory.era,
-            next_offset=self._directory.next_offset,
-            is_complete=is_complete,
-            records=tuple(
-                HostRecord(HostId(record.key), record.value, record.offset)
-                for record in records
-            ),
-            hosts_age_ms=self._hosts_age_ms(),
-        )
-
-    def _hosts_age_ms(self) -> float:
-        age_s = self._directory.freshness.age_s()
-        return -1.0 if math.isinf(age_s) else age_s * 1000
-
-    def _has_news(self, question: FollowState, proof_at: float) -> bool:
-        if self._is_of_later_era(question):
-            return True
-        is_same_era = question.era == self._directory.era
-        if is_same_era and question.next_offset < self._directory.next_offset:
-            return True
-        answer = self._configuration.answer(question.configuration)
-        if answer.content is not None or answer.evacuations is not None:
-            return True
-        return self._freshness.confirmed_at > proof_at + _MIN_PROOF_STEP_S
-
-    def _is_of_later_era(self, question: FollowState) -> bool:
-        """Whether this daemon knows a later era than the sender of a question."""
-        return (self._directory.era or 0) > (question.era or 0)
-
-    def _wake_waiters(self) -> None:
-        changed, self._changed = self._changed, trio.Event()
-        changed.set()
--- a/mangospoke/state/topology.py
+++ b/mangospoke/state/topology.py
@@ -7,6 +7,7 @@
 daemon switches to another source when its own isn't fresh.
 """
 
+import heapq
 import random
 from collections.abc import Callable
 
@@ -16,6 +17,7 @@
 from mangospoke.ids import FailureDomainId, HostId
 from mangospoke.logservice.records import UpstreamAnnounced
 from mangospoke.state.fleet import Fleet
+from mangospoke.state.reading_in_place import ancestor_ranks
 
 READERS_PER_DOMAIN = 2
 """Daemons of a failure domain that read the log service."""
@@ -23,6 +25,13 @@
 _MIN_READERS = 2
 """Readers of the whole fleet, so that one that fails isn't missed."""
 
+_REMOTE_LEADERS = 4
+"""First ranks of another failure domain that are kept: its reader, and those that read
+in its place first."""
+
+_FIRST_STAND_INS = 4
+"""First ranks that the readers and the first rank follow if they learn nothing."""
+
 FANOUT = 8
 """Daemons that follow the same parent in the tree."""
 
@@ -59,7 +68,7 @@
         self._readers_per_domain = readers_per_domain
         self._ranked_addresses: list[str] = []
         self._ranked_hosts: list[HostId] = []
-        self._remote_reader_addresses: list[str] = []
+        self._remote_leader_addresses: list[list[str]] = []
         self._ranked_from: dict[HostId, UpstreamAnnounced] | None = None
 
     @property
@@ -83,20 +92,25 @@
             self._ranked_addresses = [
                 addresses_by_host[each] for each in self._ranked_hosts
             ]
-            self._remote_reader_addresses = self._find_remote_readers()
+            self._remote_leader_addresses = self._find_remote_leaders()
         return self._ranked_addresses
 
-    def _find_remote_readers(self) -> list[str]:
-        """Returns the control address of each other failure domain's first rank."""
-        first_by_domain: dict[FailureDomainId, UpstreamAnnounced] = {}
+    def _find_remote_leaders(self) -> list[list[str]]:
+        """Returns the control addresses of the other domains' first ranks, in order."""
+        hosts_by_domain: dict[FailureDomainId, list[UpstreamAnnounced]] = {}
         for upstream in self._fleet.upstreams_by_host.values():
             domain = upstream.failure_domain
-            if domain == self._domain or not self._is_followed(upstream):
-                continue
-            first = first_by_domain.setdefault(domain, upstream)
-            if _rank_hash(upstream.host_id) < _rank_hash(first.host_id):
-                first_by_domain[domain] = upstream
-        return [upstream.control_address for upstream in first_by_domain.values()]
+            if domain != self._domain and self._is_followed(upstream):
+                hosts_by_domain.setdefault(domain, []).append(upstream)
+        return [
+            [
+                upstream.control_address
+                for upstream in heapq.nsmallest(
+                    _REMOTE_LEADERS, hosts, key=lambda each: _rank_hash(each.host_id)
+                )
+            ]
+            for hosts in hosts_by_domain.values()
+        ]
 
     def position(self) -> int:
         """This daemon's rank in its failure domain, from 0."""
@@ -109,7 +123,7 @@
     def reader_count(self) -> int:
         """Number of this failure domain's daemons that read the log service."""
         self.ranked_addresses()
-        other_domain_count = len(self._remote_reader_addresses)
+        other_domain_count = len(self._remote_leader_addresses)
         return max(self._readers_per_domain, _MIN_READERS - other_domain_count)
 
     def source(self, attempt: int) -> str | None:
@@ -127,21 +141,45 @@
             return self._ranked_addresses[(position - reader_count) // FANOUT]
         return self._ranked_addresses[self._random.randrange(position)]
 
-    def substitute(self, place: int) -> str | None:
-        """Control address of one that reads the log if the readers can't, or None.
+    def rank(self) -> int:
+        """This daemon's rank among those that aren't readers, from 0.
+
+        It is negative for a reader.
+        """
+        return self.position() - self.reader_count()
+
+    def stand_in(self, attempt: int) -> str | None:
+        """Control address of one that reads the log in the readers' place before this.
 
         Args:
-            place: Its place among the daemons that aren't readers, from 0.
+            attempt: 0 for the parent among those; after failures a higher number, for
+                the parent's parent, at last for the readers, and then from the start.
+
+        Returns:
+            The address; for the first rank and readers, that of one which reads soon
+            after it; None if there is no other.
         """
-        others = self.ranked_addresses()[self.reader_count() :]
-        return others[place] if place < len(others) else None
+        addresses = self.ranked_addresses()
+        readers = addresses[: self.reader_count()]
+        others = addresses[self.reader_count() :]
+        if self.rank() > 0:
+            stand_ins = [others[rank] for rank in ancestor_ranks(self.rank())]
+        else:
+            stand_ins = others[:_FIRST_STAND_INS]
+        sources = [each for each in stand_ins + readers if each != self._address]
+        return sources[attempt % len(sources)] if sources else None
+
+    def remote_leader(self, count: int) -> str | None:
+        """Control address of a random one of another failure domain's first ranks.
 
-    def remote_reader(self) -> str | None:
-        """Control address of a random other failure domain's reader, or None."""
+        Args:
+            count: How many ranks to choose from; the first one reads the log.
+        """
         self.ranked_addresses()
-        if not self._remote_reader_addresses:
+        if not self._remote_leader_addresses:
             return None
-        return self._random.choice(self._remote_reader_addresses)
+        addresses = self._random.choice(self._remote_leader_addresses)
+        return self._random.choice(addresses[:count])
 
     def peers(self) -> list[str]:
         """Control addresses of the failure domain's other daemons, in ring order."""
--- a/tests/state/following_fleet.py
+++ b/tests/state/following_fleet.py
@@ -32,6 +32,8 @@
 
     Attributes:
         is_down_for: Returns whether a host's calls are not answered.
+        refuses_at_once: Whether these calls are refused, not left without an answer.
+        answer_delay_s: Returns how late a host's answers come, after they were made.
         page_interval_s: Time between the two pages of the newest records.
     """
 
@@ -40,7 +42,10 @@
         self.era = 1
         self.page_interval_s = 0.0
         self.is_down_for = lambda host_id: False
+        self.refuses_at_once = False
+        self.answer_delay_s = lambda host_id: 0.0
         self.calls_by_second = Counter()
+        self.calls_by_host = Counter()
         self.call_count = 0
         self.appended = trio.Event()
 
@@ -69,8 +74,10 @@
     async def _transmit(self):
         self.log.calls_by_second[int(trio.current_time())] += 1
         self.log.call_count += 1
+        self.log.calls_by_host[self.host_id] += 1
         if self.log.is_down_for(self.host_id):
-            await trio.sleep(SILENT_TIMEOUT_S)
+            if not self.log.refuses_at_once:
+                await trio.sleep(SILENT_TIMEOUT_S)
             raise LogUnavailableError("no answer")
         await trio.sleep(LATENCY_S)
 
@@ -90,6 +97,13 @@
         return list(newest.values())
 
     async def read(self, topic, from_offset, wait_ms):
+        with trio.move_on_after(wait_ms / 1000 + SILENT_TIMEOUT_S):
+            batch = await self._read(topic, from_offset, wait_ms)
+            await trio.sleep(self.log.answer_delay_s(self.host_id))
+            return batch
+        raise LogUnavailableError("no answer in time")
+
+    async def _read(self, topic, from_offset, wait_ms):
         await self._transmit()
         started_at = trio.current_time()
         era = self.log.era
@@ -214,6 +228,13 @@
     def hosts(self):
         return list(self.hosts_by_id.values())
 
+    def hosts_by_rank(self):
+        """Returns the hosts' ids, the readers of all domains first."""
+        return sorted(
+            self.hosts_by_id,
+            key=lambda each: self.hosts_by_id[each].peers._topology.position(),
+        )
+
     def readers(self):
         return [
             host_id
--- a/tests/state/test_peer_following.py
+++ b/tests/state/test_peer_following.py
@@ -14,6 +14,9 @@
 )
 
 START_S = 3
+MAX_APPLY_S = 2.0
+"""Time after its acknowledgment until a version is in force, in the strictest of the
+users' deployments."""
 
 
 @pytest.fixture
@@ -107,27 +110,25 @@
     else:
         fleet.log.is_down_for = lambda host_id: host_id in readers
     fleet.publish(b"2")
-    await trio.sleep(3)
+    await trio.sleep(MAX_APPLY_S)
     assert fleet.versions() == {2}
     for _ in range(20):
         await trio.sleep(0.5)
         assert fleet.stale_hosts() == []
 
 
-MAX_APPLY_S = 2.0
-"""Time after its acknowledgment until a version is in force, in the strictest of the
-users' deployments."""
-
-
+@pytest.mark.parametrize("refuses_at_once", [False, True], ids=["silent", "refusing"])
 @pytest.mark.parametrize("delay_s", [0.0, 0.6, 1.2])
 @pytest.mark.parametrize("seed", range(3))
 async def test_a_change_is_in_force_in_time_when_no_reader_hears_of_it(
-    autojump_clock, make_fleet, seed, delay_s
+    autojump_clock, make_fleet, seed, delay_s, refuses_at_once
 ):
     # The log service answers all hosts but the readers, which answer their followers.
+    # A withdrawn key worked for too long, as an answer was taken for news.
     fleet = make_fleet(15, domains=3, seed=seed)
     await trio.sleep(START_S + fleet.rng.uniform(0, 1))
     readers = fleet.readers()
+    fleet.log.refuses_at_once = refuses_at_once
     fleet.log.is_down_for = lambda host_id: host_id in readers
     await trio.sleep(delay_s)
     fleet.publish(b"2")
@@ -136,6 +137,157 @@
     assert late <= set(readers)
 
 
+SILENT_SHARE = 0.35
+"""Largest part of the hosts that the users' log services turn away."""
+
+
+def _draw_silent(fleet, choice, share=SILENT_SHARE):
+    """Returns the hosts that the log service doesn't answer."""
+    hosts = fleet.hosts_by_rank()
+    count = int(share * len(hosts))
+    if choice == "random":
+        return set(fleet.rng.sample(hosts, count))
+    if choice == "first ranks of one domain":
+        hosts.sort(key=lambda host_id: host_id[0] != "a")
+    return set(hosts[:count])
+
+
+async def _late_hosts(fleet, silent):
+    """Publishes a change; returns the hosts outside `silent` that are late with it."""
+    await trio.sleep(fleet.rng.uniform(0, 1.2))
+    fleet.publish(b"2")
+    await trio.sleep(MAX_APPLY_S)
+    return {each.host_id for each in fleet.hosts() if each.version != 2} - silent
+
+
+CHOICES = ["random", "first ranks", "first ranks of one domain"]
+
+
+@pytest.mark.parametrize("choice", CHOICES)
+@pytest.mark.parametrize(("hosts", "domains"), [(9, 3), (15, 3), (75, 3), (195, 5)])
+@pytest.mark.parametrize("seed", range(3))
+async def test_a_change_is_in_force_in_time_when_some_hosts_hear_nothing(
+    autojump_clock, make_fleet, seed, hosts, domains, choice
+):
+    # The first that read in a silent reader's place may be silent hosts too.
+    fleet = make_fleet(hosts, domains, seed)
+    await trio.sleep(START_S + fleet.rng.uniform(0, 1))
+    silent = _draw_silent(fleet, choice)
+    fleet.log.is_down_for = lambda host_id: host_id in silent
+    assert await _late_hosts(fleet, silent) == set()
+
+
+async def test_a_change_is_in_force_in_time_in_domains_of_200_hosts(
+    autojump_clock, make_fleet
+):
+    # Ranks that read in place one after the other, 0.12 s apart, took 8 s.
+    fleet = make_fleet(400, 2)
+    await trio.sleep(START_S + fleet.rng.uniform(0, 1))
+    silent = _draw_silent(fleet, "first ranks")
+    fleet.log.is_down_for = lambda host_id: host_id in silent
+    assert await _late_hosts(fleet, silent) == set()
+
+
+@pytest.mark.parametrize("choice", CHOICES)
+@pytest.mark.parametrize("delay_s", [0.5, 0.9, 1.6, 3.0])
+async def test_a_change_is_in_force_in_time_when_some_hosts_are_answered_late(
+    autojump_clock, make_fleet, delay_s, choice
+):
+    # An answer proves the state of the moment when it was made, not of its arrival.
+    fleet = make_fleet(15, 3)
+    await trio.sleep(START_S + fleet.rng.uniform(0, 1))
+    slow = _draw_silent(fleet, choice)
+    fleet.log.answer_delay_s = lambda host_id: delay_s if host_id in slow else 0.0
+    assert await _late_hosts(fleet, slow) == set()
+
+
+@pytest.mark.parametrize("hosts", [15, 90])
+@pytest.mark.parametrize("seed", range(6))
+async def test_a_change_is_in_force_in_time_when_half_of_the_hosts_hear_nothing(
+    autojump_clock, make_fleet, seed, hosts
+):
+    # Readers, and others at random: more than the users' log services turn away.
+    fleet = make_fleet(hosts, domains=3, seed=seed)
+    await trio.sleep(START_S + fleet.rng.uniform(0, 1))
+    readers = fleet.readers()
+    others = sorted(set(fleet.hosts_by_id) - set(readers))
+    silent = {*readers, *fleet.rng.sample(others, hosts // 2 - len(readers))}
+    fleet.log.is_down_for = lambda host_id: host_id in silent
+    assert await _late_hosts(fleet, silent) == set()
+
+
+@pytest.mark.parametrize("refuses_at_once", [False, True], ids=["silent", "refusing"])
+@pytest.mark.parametrize("share", [SILENT_SHARE, 1.0], ids=["some", "all"])
+@pytest.mark.parametrize(("hosts", "domains"), [(15, 3), (195, 5)])
+async def test_hosts_that_hear_nothing_call_less_and_less_often(
+    autojump_clock, make_fleet, hosts, domains, share, refuses_at_once
+):
+    # Whoever reads in place must not make a storm of it, nor once it is answered.
+    fleet = make_fleet(hosts, domains)
+    await trio.sleep(START_S)
+    silent = _draw_silent(fleet, "first ranks", share)
+    readers = set(fleet.readers())
+    fleet.log.refuses_at_once = refuses_at_once
+    fleet.log.is_down_for = lambda host_id: host_id in silent
+    down_at = trio.current_time()
+    fleet.log.calls_by_host.clear()
+    await trio.sleep(10)
+    calls_by_host = dict(fleet.log.calls_by_host)
+    fleet.log.is_down_for = lambda host_id: False
+    await trio.sleep(3)
+    # A call is followed by one after 1, 2 and again 2 s; both topics are read.
+    for host_id in silent - readers:
+        assert calls_by_host.get(host_id, 0) <= 8
+    # The users' log services take 80 reads a second and host, and more.
+    for second, count in fleet.log.calls_by_second.items():
+        assert count <= 2 * hosts or second < down_at
+
+
+async def test_the_log_service_is_left_to_the_readers_soon_after_a_fault(
+    autojump_clock, make_fleet
+):
+    fleet = make_fleet(75, 3)
+    await trio.sleep(START_S)
+    readers = set(fleet.readers())
+    fleet.log.is_down_for = lambda host_id: host_id in readers
+    await trio.sleep(6)
+    fleet.log.is_down_for = lambda host_id: False
+    await trio.sleep(12)
+    fleet.log.calls_by_host.clear()
+    await trio.sleep(5)
+    assert set(fleet.log.calls_by_host) == readers
+
+
+async def test_only_readers_call_the_log_service_on_a_calm_day(
+    autojump_clock, make_fleet
+):
+    fleet = make_fleet(75, 3)
+    await trio.sleep(START_S)
+    fleet.log.calls_by_host.clear()
+    for version in range(2, 12):
+        await trio.sleep(1.73)
+        fleet.publish(b"%d" % version)
+    assert set(fleet.log.calls_by_host) == set(fleet.readers())
+
+
+async def test_proofs_stay_recent_while_the_configuration_changes(
+    autojump_clock, make_fleet
+):
+    # A read that was ended by a change proves the state of when it was sent, so the
+    # next proof came up to 2 s after it, and hosts read the log service for nothing.
+    fleet = make_fleet(30, domains=3)
+    await trio.sleep(START_S)
+    ages_s = []
+    for version in range(2, 12):
+        await trio.sleep(0.4)
+        fleet.publish(b"%d" % version)
+        for _ in range(5):
+            await trio.sleep(0.1)
+            ages_s += [host.freshness.age_s() for host in fleet.hosts()]
+    # Older ones have hosts look for another source.
+    assert max(ages_s) < 1.15
+
+
 @pytest.mark.parametrize("seed", range(3))
 async def test_a_domain_whose_reader_is_dark_hears_without_more_calls(
     autojump_clock, make_fleet, seed
