Registrar: which run left is told without comparing two clocks

With a clock ahead, the late heartbeat of one that had left brought it back.

Cause: a deregistration names no start, and was taken for all runs that started until it came: the start by the upstream's clock was compared with the time by the daemon's.

Change: a departure holds the latest start that was heard of, and when the message came. What was heard before another such message doesn't count.

--- a/mangospoke/logservice/records.py
+++ b/mangospoke/logservice/records.py
@@ -121,11 +121,15 @@
     Attributes:
         instance: Their instance.
         last_start_ms: All its runs that started until then have left, in Unix
-            milliseconds.
+            milliseconds of the upstream's clock.
+        unheard_until_ms: When a message that names no start said that the present run
+            leaves, in Unix milliseconds of the daemon's clock; 0 if none did. The run
+            may be a later one, which the daemon hadn't heard of.
     """
 
     instance: InstanceId
     last_start_ms: WholeNumber
+    unheard_until_ms: WholeNumber = 0
 
 
 class UpstreamAnnounced(Record, frozen=True, kw_only=True, tag="upstream-announced"):
--- a/mangospoke/state/departure_records.py
+++ b/mangospoke/state/departure_records.py
@@ -91,17 +91,16 @@
     """Returns the departure of the run of an instance that runs now.
 
     Messages that don't say when their run started may come from a later run than the
-    latest that was heard, as heartbeats may be late or lost. So all runs of the
-    instance that started until now have left.
+    latest that was heard, as heartbeats may be late or lost.
 
     Args:
         instance: The instance.
         heard_start_ms: Start of its latest run that was heard, in Unix milliseconds;
-            the upstream's clock may be ahead of this host's.
+            0 if none was.
     """
-    return Departure(instance, max(time.time_ns() // 1_000_000, heard_start_ms))
+    return Departure(instance, heard_start_ms, time.time_ns() // 1_000_000)
 
 
 def _repeats(departure: Departure, earlier: Departure) -> bool:
-    elapsed_ms = departure.last_start_ms - earlier.last_start_ms
+    elapsed_ms = departure.unheard_until_ms - earlier.unheard_until_ms
     return departure.instance == earlier.instance and elapsed_ms <= _MAX_REPETITION_MS
--- a/mangospoke/state/departures.py
+++ b/mangospoke/state/departures.py
@@ -5,7 +5,11 @@
 are kept in the host's record, from which a daemon that starts takes them over.
 
 A run is named by its instance and its start. An upstream may start again under the same
-instance; that run's start is later, so it isn't affected.
+instance; that run's start is later, so it isn't affected. A message that names no start
+may come from a run that wasn't heard of yet. Starts are read from the upstream's clock,
+which may differ from this host's, so they don't tell that run from one that starts
+after the message. For as long as heartbeats may be late, a run that is heard of only
+after such a message may be either.
 """
 
 from collections.abc import Iterable, Sequence
@@ -18,50 +22,61 @@
 the present one by far."""
 
 
+_MAX_LATENESS_MS = 30_000
+"""How late a heartbeat may arrive."""
+
+
 class Departures:
     """The process runs that have left, latest last."""
 
     def __init__(self) -> None:
-        self._last_start_by_instance: dict[InstanceId, int] = {}
+        self._departure_by_instance: dict[InstanceId, Departure] = {}
 
     def records(self) -> tuple[Departure, ...]:
         """Returns what is to be kept in the host's record."""
-        return tuple(
-            Departure(instance, last_start_ms)
-            for instance, last_start_ms in self._last_start_by_instance.items()
-        )
+        return tuple(self._departure_by_instance.values())
 
     def has_left(self, instance: InstanceId, started_at_ms: int) -> bool:
-        """Whether a process run has left."""
-        last_start_ms = self._last_start_by_instance.get(instance)
-        return last_start_ms is not None and started_at_ms <= last_start_ms
-
-    def are_recorded(self, recorded: Sequence[Departure]) -> bool:
-        """Whether a host's record says of all these runs that they have left."""
-        return all(covers(recorded, departure) for departure in self.records())
+        """Whether a process run has left for certain."""
+        departure = self._departure_by_instance.get(instance)
+        return departure is not None and started_at_ms <= departure.last_start_ms
 
-    def add(self, instance: InstanceId, last_start_ms: int) -> bool:
-        """Adds a departure; returns whether it is news.
+    def may_have_left(self, instance: InstanceId, now_ms: int) -> bool:
+        """Whether a run that is first heard of now may have left before.
 
         Args:
-            instance: The instance that left.
-            last_start_ms: Its start, or a moment after it, in Unix milliseconds. All
-                its runs that started until then have left.
+            instance: Its instance.
+            now_ms: Unix milliseconds of this host's clock.
         """
-        if self.has_left(instance, last_start_ms):
+        departure = self._departure_by_instance.get(instance)
+        if departure is None or departure.unheard_until_ms == 0:
             return False
-        self._last_start_by_instance.pop(instance, None)
-        self._last_start_by_instance[instance] = last_start_ms
-        while len(self._last_start_by_instance) > _MAX_DEPARTURES:
-            del self._last_start_by_instance[next(iter(self._last_start_by_instance))]
-        return True
+        return now_ms - departure.unheard_until_ms < _MAX_LATENESS_MS
+
+    def are_recorded(self, recorded: Sequence[Departure]) -> bool:
+        """Whether a host's record says of all these runs that they have left."""
+        return all(covers(recorded, departure) for departure in self.records())
+
+    def add(self, departure: Departure) -> bool:
+        """Adds a departure; returns whether it is news."""
+        known = self._departure_by_instance.pop(departure.instance, None)
+        if known is not None:
+            departure = Departure(
+                departure.instance,
+                max(departure.last_start_ms, known.last_start_ms),
+                max(departure.unheard_until_ms, known.unheard_until_ms),
+            )
+        self._departure_by_instance[departure.instance] = departure
+        while len(self._departure_by_instance) > _MAX_DEPARTURES:
+            del self._departure_by_instance[next(iter(self._departure_by_instance))]
+        return departure != known
 
     def restore(self, departures: Iterable[Departure]) -> None:
         """Takes over earlier departures; those that are known count as later."""
         known = self.records()
-        self._last_start_by_instance.clear()
+        self._departure_by_instance.clear()
         for departure in (*departures, *known):
-            self.add(departure.instance, departure.last_start_ms)
+            self.add(departure)
 
 
 def covers(departures: Sequence[Departure], departure: Departure) -> bool:
@@ -69,5 +84,6 @@
     return any(
         each.instance == departure.instance
         and each.last_start_ms >= departure.last_start_ms
+        and each.unheard_until_ms >= departure.unheard_until_ms
         for each in departures
     )
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -30,11 +30,16 @@
 from mangospoke.state.heartbeats import Heartbeat, HeartbeatCheck, HeartbeatState
 from mangospoke.state.host_directory import find_host
 from mangospoke.state.host_record_writer import HostRecordWriter
+from mangospoke.state.ongoing_runs import OngoingRuns
 from mangospoke.state.unconfirmed_heartbeats import UnconfirmedHeartbeats
 
 _DEFAULT_MAX_CONNECTIONS = 1_000_000
 """Connection limit of an upstream, as heartbeats don't report one."""
 
+_MIN_ONGOING_S = 2.5
+"""Time for which the heartbeats of a run have to go on if it may have left already. The
+last two of a run that left may be late by the same time, and come 1.5 s apart."""
+
 
 class HostRegistrar:
     """Keeps the guard and the host's record in line with the upstream's heartbeats.
@@ -71,6 +76,7 @@
         self._guard = guard
         self._find_mismatch = find_mismatch
         self._departures = Departures()
+        self._doubtful_runs = OngoingRuns()
         self._took_over = trio.Event()
         self._unconfirmed = UnconfirmedHeartbeats(time.time_ns() // 1_000_000)
         self._logged_heartbeat: tuple[InstanceId, int, str] | None = None
@@ -137,8 +143,12 @@
             if is_serving:
                 self._log_ignored(heartbeat, "this run of the upstream has left")
             return not is_serving
+        if is_serving and not self._is_alive(heartbeat):
+            reason = "it isn't known yet whether this run of the upstream has left"
+            self._log_ignored(heartbeat, reason)
+            return False
         if not is_serving:
-            self._add_departure(heartbeat.instance, heartbeat.started_at_ms)
+            self._add_departure(heartbeat.departure())
         if self._is_outdated(heartbeat):
             return False
         before, self._latest_heartbeat = self._latest_heartbeat, heartbeat
@@ -160,6 +170,14 @@
             heartbeat, trio.current_time()
         )
 
+    def _is_alive(self, heartbeat: Heartbeat) -> bool:
+        """Whether a run isn't one that left before it was heard of."""
+        now_ms = time.time_ns() // 1_000_000
+        if not self._departures.may_have_left(heartbeat.instance, now_ms):
+            return True
+        span_s = self._doubtful_runs.span_s(heartbeat, trio.current_time())
+        return span_s >= _MIN_ONGOING_S
+
     def _is_latest_run(self, heartbeat: Heartbeat) -> bool:
         latest = self._latest_heartbeat
         return latest is not None and latest.is_same_run(heartbeat)
@@ -181,31 +199,40 @@
         """Processes that a process run of the upstream has left.
 
         The message doesn't say when the run started, and it may be a later one than the
-        latest that was heard. So all runs of the instance that started until now have
-        left.
+        latest that was heard. So a run of the instance that is heard of later is used
+        only once its heartbeats go on.
 
         Returns:
             The departure that has to be recorded before it is acknowledged.
         """
         latest = self._latest_heartbeat
-        heard_start_ms = 0
         if latest is not None and latest.instance == instance:
-            heard_start_ms = latest.started_at_ms
             self.handle_heartbeat(
                 dataclasses.replace(
                     latest, state=HeartbeatState.LEAVING, sequence=latest.sequence + 1
                 )
             )
-        departure = present_departure(instance, heard_start_ms)
-        self._add_departure(instance, departure.last_start_ms)
+        departure = present_departure(instance, self._forget_heard_runs(instance))
+        self._add_departure(departure)
         return self._departure_records.make_deregistered(departure)
 
-    def _add_departure(self, instance: InstanceId, last_start_ms: int) -> None:
-        if not self._departures.add(instance, last_start_ms):
+    def _forget_heard_runs(self, instance: InstanceId) -> int:
+        """Returns the latest start of an instance that was heard; 0 if none was."""
+        heard_start_ms = self._doubtful_runs.forget(instance)
+        latest = self._latest_heartbeat
+        if latest is not None and latest.instance == instance:
+            heard_start_ms = max(heard_start_ms, latest.started_at_ms)
+        return heard_start_ms
+
+    def _add_departure(self, departure: Departure) -> None:
+        if not self._departures.add(departure):
             return
         logger.bind(
-            event="departure", instance=instance, last_start_ms=last_start_ms
-        ).info("upstream {} has left or is about to", instance)
+            event="departure",
+            instance=departure.instance,
+            last_start_ms=departure.last_start_ms,
+            unheard_until_ms=departure.unheard_until_ms,
+        ).info("upstream {} has left or is about to", departure.instance)
         record = self._writer.record
         self._replace_desired_record(record.state, record.slots)
 
@@ -271,10 +298,11 @@
         """
         announcement = self._guard.announcement
         if announcement is not None and announcement.instance is not None:
-            departure = present_departure(
-                announcement.instance, announcement.started_at_ms
+            heard_start_ms = self._forget_heard_runs(announcement.instance)
+            heard_start_ms = max(heard_start_ms, announcement.started_at_ms)
+            self._add_departure(
+                present_departure(announcement.instance, heard_start_ms)
             )
-            self._add_departure(departure.instance, departure.last_start_ms)
         self._set_desired_state(UpstreamState.DRAINING, self._writer.record.slots)
 
     def stop(self) -> None:
--- a/mangospoke/state/unconfirmed_heartbeats.py
+++ b/mangospoke/state/unconfirmed_heartbeats.py
@@ -10,6 +10,7 @@
 
 from mangospoke.ids import InstanceId
 from mangospoke.state.heartbeats import Heartbeat
+from mangospoke.state.ongoing_runs import OngoingRuns
 
 _MIN_INTERVAL_S = 1.0
 """Time between two heartbeats that shows that the later one was sent later; those that
@@ -29,7 +30,7 @@
         """
         self._started_at_ms = started_at_ms
         self._latest_by_run: dict[tuple[InstanceId, int], Heartbeat] = {}
-        self._first_by_run: dict[tuple[InstanceId, int], tuple[int, float]] = {}
+        self._runs = OngoingRuns()
 
     def add(self, heartbeat: Heartbeat, now: float) -> bool:
         """Keeps a heartbeat; returns whether its run is alive for certain.
@@ -42,17 +43,17 @@
         latest = self._latest_by_run.get(run)
         if latest is None and len(self._latest_by_run) >= _MAX_RUNS:
             oldest = next(iter(self._latest_by_run))
-            del self._latest_by_run[oldest], self._first_by_run[oldest]
+            del self._latest_by_run[oldest]
         if latest is None or heartbeat.sequence > latest.sequence:
             self._latest_by_run[run] = heartbeat
-        sequence, at = self._first_by_run.setdefault(run, (heartbeat.sequence, now))
+        span_s = self._runs.span_s(heartbeat, now)
         if heartbeat.started_at_ms >= self._started_at_ms:
             return True
-        return heartbeat.sequence > sequence and now - at >= _MIN_INTERVAL_S
+        return span_s >= _MIN_INTERVAL_S
 
     def take_all(self) -> list[Heartbeat]:
         """Removes and returns the latest heartbeat of each run."""
         heartbeats = list(self._latest_by_run.values())
         self._latest_by_run.clear()
-        self._first_by_run.clear()
+        self._runs.clear()
         return heartbeats
