Quarantine: crashes are kept in the host's record, which outlives all daemons

Cause: what a service's daemons know of crashes was in the memory of their processes. If all of them start, each finds that nobody knows anything, and takes that for nothing to know.

Change: the host that saw a crash keeps it, with the requests that are still suspected, in its own record in the log service (guard/recorded_crashes.py), at most 64, trials first. Daemons read the records of all hosts before their calls run. Written once with the crash, or a second later if it has over 8 suspects, and once when they are cleared. The next daemon on the host carries it on.

--- a/mangospoke/daemon/hosted.py
+++ b/mangospoke/daemon/hosted.py
@@ -146,6 +146,7 @@
             self.guard,
             lambda: hosted_settings.upstream_service,
         )
+        self.quarantine.record_crashes = self.registrar.record_crashes
         shutdown = Shutdown()
         self.decisions.read_shutdown_status = shutdown.status
         dispatcher = Dispatcher(
--- a/mangospoke/guard/poison.py
+++ b/mangospoke/guard/poison.py
@@ -7,6 +7,7 @@
 """
 
 import secrets
+import time
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -22,6 +23,7 @@
     StartTrial,
     StartTrialResponse,
 )
+from mangospoke.guard.recorded_crashes import RecordedCrashes
 from mangospoke.guard.suspect_exchange import ServiceReader, SuspectExchange
 from mangospoke.guard.suspects import (
     SuspectRegistry,
@@ -29,7 +31,7 @@
     poison_fingerprint,
 )
 from mangospoke.ids import FailureDomainId, HostId, ServiceName
-from mangospoke.logservice.records import UpstreamAnnounced
+from mangospoke.logservice.records import RecordedCrash, UpstreamAnnounced
 from mangospoke.observability.status import QuarantineStatus
 from mangospoke.rendezvous import rendezvous_rank
 from mangospoke.state.fleet import Fleet
@@ -48,6 +50,11 @@
 _PROBE_DELAYS_S = (0.0, 0.05, 0.15)
 """Delays before the connection attempts; one that fails indicates a crash."""
 
+_RECORD_INTERVAL_S = 1.0
+"""Time after which many suspects are recorded. Most are cleared by then."""
+
+_MAX_SUSPECTS_RECORDED_AT_ONCE = 8
+
 _CONTROL_TIMEOUT_S = 1.0
 _TRIAL_POLL_S = 0.02
 _TRIAL_GRACE_S = 3.0
@@ -87,7 +94,12 @@
 
 
 class QuarantineController:
-    """Detects poison requests, and admits their trials, in one daemon."""
+    """Detects poison requests, and admits their trials, in one daemon.
+
+    Attributes:
+        record_crashes: Called with the crashes that this host's record is to hold,
+            again and again.
+    """
 
     def __init__(
         self,
@@ -102,7 +114,12 @@
         self._fleet = fleet
         self._control = control
         self._is_reachable = is_reachable
+        self.record_crashes: Callable[[tuple[RecordedCrash, ...]], None]
+        self.record_crashes = lambda crashes: None
         self._suspects = SuspectRegistry()
+        self._recorded = RecordedCrashes(host_id, self._suspects)
+        fleet.membership_listeners.append(self._learn_recorded)
+        self._learn_recorded()
         self._exchange = SuspectExchange(
             host_id, failure_domain, fleet, control, self._suspects, read_service
         )
@@ -117,7 +134,23 @@
 
     async def run(self) -> None:
         """Exchanges suspects with the service's other daemons until cancelled."""
-        await self._exchange.run()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._exchange.run)
+            nursery.start_soon(self._keep_recorded)
+
+    async def _keep_recorded(self) -> None:
+        while True:
+            await trio.sleep(_RECORD_INTERVAL_S)
+            self._record()
+
+    def _record(self) -> None:
+        now_ms = time.time_ns() // 1_000_000
+        self.record_crashes(self._recorded.own(trio.current_time(), now_ms))
+
+    def _learn_recorded(self) -> None:
+        now_ms = time.time_ns() // 1_000_000
+        upstreams = self._fleet.upstreams_by_host.values()
+        self._recorded.learn(upstreams, trio.current_time(), now_ms)
 
     async def admit(self, call: Call) -> Trial | Refused | None:
         """Decides whether a call may run.
@@ -257,6 +290,8 @@
                 event="suspected", service=service, fingerprint=fingerprint
             ).warning("upstream crashed while running request {}", fingerprint)
         await self._handle_report(report)
+        if len(suspect_fingerprints) <= _MAX_SUSPECTS_RECORDED_AT_ONCE:
+            self._record()
         await self._exchange.broadcast(service, report)
 
     async def _has_crashed(self) -> bool:
--- a/mangospoke/logservice/records.py
+++ b/mangospoke/logservice/records.py
@@ -132,6 +132,22 @@
     unheard_until_ms: WholeNumber = 0
 
 
+class RecordedCrash(Struct, frozen=True, array_like=True):
+    """A crash of an upstream, and the requests that are suspected of it.
+
+    Attributes:
+        crash_id: Id of the crash, which begins with the host's.
+        crashed_at_ms: When it was noticed, in Unix milliseconds.
+        is_trial: Whether the requests were on trial.
+        fingerprints: The requests.
+    """
+
+    crash_id: str
+    crashed_at_ms: WholeNumber
+    is_trial: bool
+    fingerprints: tuple[str, ...]
+
+
 class UpstreamAnnounced(Record, frozen=True, kw_only=True, tag="upstream-announced"):
     """Announces an upstream and the daemon on its host, or a change of their state.
 
@@ -153,6 +169,8 @@
             daemon on this host.
         present_since_ms: Unix milliseconds since which no record of the daemon has said
             that it drains; 0 if unknown.
+        crashes: Crashes of the upstream of which requests are still suspected, for
+            daemons that start when nobody else knows of them any more.
     """
 
     host_id: HostId
@@ -168,6 +186,7 @@
     daemon_incarnation: _Incarnation = Incarnation(0)
     departures: tuple[Departure, ...] = ()
     present_since_ms: WholeNumber = 0
+    crashes: tuple[RecordedCrash, ...] = ()
 
 
 class UpstreamLeft(Record, frozen=True, kw_only=True, tag="upstream-left"):
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -22,6 +22,7 @@
 from mangospoke.logservice.keyed import KeyedLog, KeyedRecord
 from mangospoke.logservice.records import (
     Departure,
+    RecordedCrash,
     UpstreamAnnounced,
     UpstreamState,
 )
@@ -77,6 +78,7 @@
         self._find_mismatch = find_mismatch
         self._departures = Departures()
         self._doubtful_runs = OngoingRuns()
+        self._crashes: tuple[RecordedCrash, ...] = ()
         self._took_over = trio.Event()
         self._unconfirmed = UnconfirmedHeartbeats(time.time_ns() // 1_000_000)
         self._logged_heartbeat: tuple[InstanceId, int, str] | None = None
@@ -114,6 +116,7 @@
         stored = find_host(newest, self._settings.host.id)
         if stored is not None:
             self._departure_records.restore(stored.departures)
+            self._crashes = (*stored.crashes, *self._crashes)
         self._replace_desired_record(
             self._writer.record.state, self._writer.record.slots
         )
@@ -305,6 +308,15 @@
             )
         self._set_desired_state(UpstreamState.DRAINING, self._writer.record.slots)
 
+    def record_crashes(self, crashes: tuple[RecordedCrash, ...]) -> None:
+        """Sets the crashes that the host's record holds."""
+        if crashes == self._crashes:
+            return
+        self._crashes = crashes
+        self._replace_desired_record(
+            self._writer.record.state, self._writer.record.slots
+        )
+
     def stop(self) -> None:
         """Takes the host out of routing because its daemon is stopping."""
         self.stopping = True
@@ -344,6 +356,7 @@
             daemon_incarnation=self._incarnation,
             departures=self._departures.records(),
             present_since_ms=self._present_since_ms or 0,
+            crashes=self._crashes,
         )
 
     async def run(self) -> None:
--- a/tests/state/test_departures.py
+++ b/tests/state/test_departures.py
@@ -15,6 +15,7 @@
 from mangospoke.logservice.keyed import KeyedRecord
 from mangospoke.logservice.records import (
     Departure,
+    RecordedCrash,
     UpstreamAnnounced,
     UpstreamState,
 )
@@ -474,3 +475,19 @@
     assert host.uses() == "i-1"
     registrar.handle_heartbeat(heartbeat(sequence=7, state=HeartbeatState.DRAINING))
     assert host.uses() is None
+
+
+async def test_the_next_daemon_on_a_host_carries_its_crashes_on(host):
+    # Its first record replaced the one that held them.
+    crash = RecordedCrash("h1/1", NOW_MS, True, ("guilty",))
+    registrar = host.start()
+    registrar.record_crashes((crash,))
+    await registrar.wait_written()
+    assert host.record().crashes == (crash,)
+    registrar = host.start()
+    registrar.handle_heartbeat(HEARTBEAT)
+    await registrar.wait_written()
+    assert host.record().crashes == (crash,)
+    registrar.record_crashes(())
+    await registrar.wait_written()
+    assert host.record().crashes == ()
