Streams: an end that is read after a write was told of a reset is none

Cause: the kernel reports a reset once. The failed write took it, and the read after it saw a plain end, which ends a body without a length.

Change: a stream remembers that a write was told of a reset (ECONNRESET); an end that is read after it is an error. After the peer's own end a write gets EPIPE, and that end counts as before.

--- a/mangospoke/streams.py
+++ b/mangospoke/streams.py
@@ -6,6 +6,7 @@
 steps are omitted here.
 """
 
+import errno
 import os
 import select
 import socket
@@ -41,6 +42,7 @@
         self._descriptor = sock.fileno()
         self._unsent = memoryview(b"")
         self._flush_lock = trio.Lock()
+        self._was_reset = False
 
     def fileno(self) -> int:
         """Returns the socket's file descriptor, or -1 after closing."""
@@ -80,6 +82,9 @@
         except BlockingIOError:
             sent = 0
         except OSError as error:
+            # The kernel reports a reset once; reads see a plain end after that. One
+            # that follows the peer's own end is reported as EPIPE.
+            self._was_reset = self._was_reset or error.errno == errno.ECONNRESET
             raise trio.BrokenResourceError(str(error)) from error
         self._unsent = self._unsent[sent:]
         return not self._unsent
@@ -102,7 +107,8 @@
         """Waits for bytes and returns them; empty once the peer has sent EOF.
 
         Raises:
-            trio.BrokenResourceError: If the connection is broken.
+            trio.BrokenResourceError: If the connection is broken, also if a write was
+                told of it first.
             trio.ClosedResourceError: If it was closed locally.
         """
         while True:
@@ -110,11 +116,14 @@
                 raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(self._descriptor)
             try:
-                return os.read(self._descriptor, RECEIVE_BYTES)
+                content = os.read(self._descriptor, RECEIVE_BYTES)
             except BlockingIOError:
                 continue
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
+            if not content and self._was_reset:
+                raise trio.BrokenResourceError("the peer reset the connection")
+            return content
 
     async def wait_for_input(self) -> None:
         """Waits until bytes or EOF can be read, or the stream is closed."""
--- a/tests/http/test_cut_heads.py
+++ b/tests/http/test_cut_heads.py
@@ -1,7 +1,8 @@
 """A response that is cut anywhere before its end is never taken for a whole one.
 
-Failure: an upstream stopped in the middle of its response's head and closed; callers
-got a 200 with an empty or short body that looked whole.
+Failures: an upstream stopped in the middle of its response's head and closed; callers
+got a 200 with an empty or short body that looked whole. An upstream reset a connection
+while an upload was written to it; the write was told so, and the read saw a plain end.
 """
 
 import socket
@@ -12,7 +13,9 @@
 
 from mangospoke.conf.settings import Limits
 from mangospoke.guard.upstream import UpstreamConnectionPool
+from mangospoke.http.bodies import buffered_body
 from mangospoke.platform.headers import UPSTREAM_DIALECT
+from mangospoke.streams import open_stream
 from mangospoke.verdicts import Answered, Unanswered
 from tests.harness.calls import make_call
 
@@ -88,3 +91,92 @@
     # The whole response is one, so that the cuts are all that is missing above.
     upstream.cut_at, upstream.resets = len(response), False
     assert isinstance(await send(pool), Answered)
+
+
+class ResettingUpstream:
+    """Answers an upload at once, without a length, and resets while it is sent.
+
+    Attributes:
+        body_bytes: Size of the part of its response's body that it sends.
+        reset_after_s: Time after which it resets the connection.
+        lingers: Whether it closes in the ordinary way, with unread bytes.
+    """
+
+    def __init__(self):
+        self.body_bytes = 0
+        self.reset_after_s = 0.0
+        self.lingers = False
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        task_status.started(f"127.0.0.1:{port}")
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream):
+        await stream.receive_some(1_000)
+        await stream.send_all(UNTIL_THE_END + b"x" * self.body_bytes)
+        await trio.sleep(self.reset_after_s)
+        if not self.lingers:
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.socket.close()
+
+
+@pytest.mark.parametrize("lingers", [False, True], ids=["reset", "unread bytes"])
+async def test_a_response_that_is_reset_during_an_upload_is_no_response(
+    nursery, lingers
+):
+    upstream = ResettingUpstream()
+    upstream.lingers = lingers
+    address = await nursery.start(upstream.run)
+    pool = UpstreamConnectionPool(address, Limits(), UPSTREAM_DIALECT)
+    upload = buffered_body(bytes(4_000_000))
+    for upstream.body_bytes in (1, 40, 700, 1_500):
+        for upstream.reset_after_s in (0.0, 0.002, 0.02, 0.1, 0.2):
+            headers = [(b"host", b"x")]
+            call = make_call(5.0, headers=headers, request_id="a", body=upload)
+            outcome = await pool.execute(call, "token", echoes_request_id=True)
+            assert isinstance(outcome, Unanswered), upstream.reset_after_s
+
+
+async def test_a_read_after_a_write_that_was_told_of_a_reset_sees_no_plain_end(nursery):
+    upstream = ResettingUpstream()
+    upstream.body_bytes = 10
+    stream = await open_stream(
+        "127.0.0.1", int((await nursery.start(upstream.run))[10:])
+    )
+    await stream.send_all(b"x")
+    await trio.sleep(0.1)
+    with pytest.raises(trio.BrokenResourceError):
+        await stream.send_all(b"x")
+    with pytest.raises(trio.BrokenResourceError):
+        while await stream.receive_some():
+            pass
+    stream.close()
+
+
+async def test_an_end_that_precedes_a_reset_is_an_end(nursery):
+    # The response is whole: its end came first, and the reset is for the upload.
+    ended = trio.Event()
+
+    async def serve(stream):
+        await stream.receive_some(1)
+        await stream.send_all(b"whole")
+        await stream.send_eof()
+        await ended.wait()
+        stream.socket.close()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    port = listeners[0].socket.getsockname()[1]
+    stream = await open_stream("127.0.0.1", port)
+    await stream.send_all(b"xx")
+    await trio.sleep(0.05)
+    ended.set()
+    await trio.sleep(0.05)
+    with pytest.raises(trio.BrokenResourceError):
+        await stream.send_all(b"x")
+    assert await stream.receive_some() == b"whole"
+    assert await stream.receive_some() == b""
+    stream.close()
