--- a/mangospoke/state/following.py
+++ b/mangospoke/state/following.py
@@ -30,8 +30,10 @@
 LOG_WAIT_MS = 5_000
 PEER_WAIT_MS = 3_000
 _PEER_TIMEOUT_S = 1.5
-_MAX_SOURCE_AGE_S = 20.0
-"""Age of a peer's state up to which a reader keeps following that peer."""
+_MAX_SOURCE_AGE_S = 2 * LOG_WAIT_MS / 1000
+"""Age of a peer's state up to which a reader keeps following that peer. One that hears
+from the log service has a newer proof each `LOG_WAIT_MS`; two that follow each other
+have none."""
 
 _ROLE_CHECK_INTERVAL_S = 0.5
 _FAILURES_BEFORE_PEERS = 2
