Split: departures decide who is alive; crash detection and heartbeat lines are modules

Departures now hold the runs of which it isn't known whether they left, and make the departure of a message without a start; which heartbeat is outdated, the announcement of one and the lines on ignored ones stand with the heartbeats; collecting lost connections into crashes is guard/crash_detection.py. Two upstreams in test_cut_heads share a base.

--- a/mangospoke/guard/poison.py
+++ b/mangospoke/guard/poison.py
@@ -8,7 +8,7 @@
 
 import secrets
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import trio
 from loguru import logger
@@ -23,6 +23,11 @@
     StartTrial,
     StartTrialResponse,
 )
+from mangospoke.guard.crash_detection import (
+    ConnectionLoss,
+    CrashDetector,
+    ReachabilityCheck,
+)
 from mangospoke.guard.recorded_crashes import RecordedCrashes
 from mangospoke.guard.suspect_exchange import ServiceReader, SuspectExchange
 from mangospoke.guard.suspects import (
@@ -44,12 +49,6 @@
     Unanswered,
 )
 
-_COLLECT_S = 0.02
-"""Time for which calls interrupted by the same crash are collected."""
-
-_PROBE_DELAYS_S = (0.0, 0.05, 0.15)
-"""Delays before the connection attempts; one that fails indicates a crash."""
-
 _RECORD_INTERVAL_S = 1.0
 """Time after which many suspects are recorded. Most are cleared by then."""
 
@@ -64,9 +63,6 @@
     {FailureReason.UPSTREAM_CONNECTION_LOST, FailureReason.TRUNCATED_ANSWER}
 )
 
-ReachabilityCheck = Callable[[], Awaitable[bool]]
-"""Returns whether the local upstream accepts connections."""
-
 
 class Trial:
     """A run of a suspect, of which the fleet allows one at a time."""
@@ -78,21 +74,6 @@
         self.service = service
 
 
-class _ConnectionLoss:
-    """Calls whose connections were lost at the same time.
-
-    Attributes:
-        fingerprints: All of these calls.
-        trial_fingerprints: Those that were trials.
-        handled: Set once a crash was ruled out or reported.
-    """
-
-    def __init__(self) -> None:
-        self.fingerprints: set[str] = set()
-        self.trial_fingerprints: set[str] = set()
-        self.handled = trio.Event()
-
-
 class QuarantineController:
     """Detects poison requests, and admits their trials, in one daemon.
 
@@ -113,7 +94,7 @@
         self._host_id = host_id
         self._fleet = fleet
         self._control = control
-        self._is_reachable = is_reachable
+        self._crashes = CrashDetector(is_reachable, self._report_crash)
         self.record_crashes: Callable[[tuple[RecordedCrash, ...]], None]
         self.record_crashes = lambda crashes: None
         self._suspects = SuspectRegistry()
@@ -124,7 +105,6 @@
             host_id, failure_domain, fleet, control, self._suspects, read_service
         )
         self._trials = TrialRegistry()
-        self._current_loss: _ConnectionLoss | None = None
         self._local_trial: Trial | None = None
         handlers = control.handlers_by_type
         handlers[ReportCrash] = self._handle_report
@@ -237,7 +217,9 @@
             and outcome.reason in _POSSIBLE_CRASH_REASONS
         )
         if is_possible_crash:
-            await self._handle_loss(call, trial)
+            await self._crashes.handle_loss(
+                call, trial.fingerprint if trial is not None else None
+            )
         elif trial is not None and isinstance(outcome, Answered):
             await self.clear(trial.fingerprint)
 
@@ -255,28 +237,7 @@
         with trio.CancelScope(shield=True):
             await self._exchange.send(coordinator, message)
 
-    async def _handle_loss(self, call: Call, trial: Trial | None) -> None:
-        loss = self._current_loss
-        is_first = loss is None
-        if loss is None:
-            loss = self._current_loss = _ConnectionLoss()
-        loss.fingerprints.add(poison_fingerprint(call))
-        if trial is not None:
-            loss.trial_fingerprints.add(trial.fingerprint)
-        if not is_first:
-            await loss.handled.wait()
-            return
-        try:
-            with trio.CancelScope(shield=True):
-                await self._report_crash(call.service, loss)
-        finally:
-            loss.handled.set()
-
-    async def _report_crash(self, service: ServiceName, loss: _ConnectionLoss) -> None:
-        await trio.sleep(_COLLECT_S)
-        self._current_loss = None
-        if not await self._has_crashed():
-            return
+    async def _report_crash(self, service: ServiceName, loss: ConnectionLoss) -> None:
         # If trials were running, they are assumed to have caused the crash.
         suspect_fingerprints = tuple(loss.trial_fingerprints or loss.fingerprints)
         report = ReportCrash(
@@ -294,13 +255,6 @@
             self._record()
         await self._exchange.broadcast(service, report)
 
-    async def _has_crashed(self) -> bool:
-        for delay_s in _PROBE_DELAYS_S:
-            await trio.sleep(delay_s)
-            if not await self._is_reachable():
-                return True
-        return False
-
     async def clear(self, fingerprint: str) -> bool:
         """Clears a suspect or quarantined request fleet-wide; False if unknown."""
         now = trio.current_time()
--- a/mangospoke/state/departure_records.py
+++ b/mangospoke/state/departure_records.py
@@ -4,12 +4,9 @@
 The upstream, which has its acknowledgment, says it no more, and is used again.
 """
 
-import time
-
 import trio
 from loguru import logger
 
-from mangospoke.ids import InstanceId
 from mangospoke.logservice.records import Departure
 from mangospoke.state.departures import Departures, covers
 from mangospoke.state.host_record_writer import HostRecordWriter
@@ -87,20 +84,6 @@
         )
 
 
-def present_departure(instance: InstanceId, heard_start_ms: int = 0) -> Departure:
-    """Returns the departure of the run of an instance that runs now.
-
-    Messages that don't say when their run started may come from a later run than the
-    latest that was heard, as heartbeats may be late or lost.
-
-    Args:
-        instance: The instance.
-        heard_start_ms: Start of its latest run that was heard, in Unix milliseconds;
-            0 if none was.
-    """
-    return Departure(instance, heard_start_ms, time.time_ns() // 1_000_000)
-
-
 def _repeats(departure: Departure, earlier: Departure) -> bool:
     elapsed_ms = departure.unheard_until_ms - earlier.unheard_until_ms
     return departure.instance == earlier.instance and elapsed_ms <= _MAX_REPETITION_MS
--- a/mangospoke/state/departures.py
+++ b/mangospoke/state/departures.py
@@ -16,6 +16,8 @@
 
 from mangospoke.ids import InstanceId
 from mangospoke.logservice.records import Departure
+from mangospoke.state.heartbeats import Heartbeat
+from mangospoke.state.ongoing_runs import OngoingRuns
 
 _MAX_DEPARTURES = 8
 """Departures that are kept. The heartbeats of earlier runs are older than the start of
@@ -25,12 +27,17 @@
 _MAX_LATENESS_MS = 30_000
 """How late a heartbeat may arrive."""
 
+_MIN_ONGOING_S = 2.5
+"""Time for which the heartbeats of a run have to go on if it may have left already. The
+last two of a run that left may be late by the same time, and come 1.5 s apart."""
+
 
 class Departures:
     """The process runs that have left, latest last."""
 
     def __init__(self) -> None:
         self._departure_by_instance: dict[InstanceId, Departure] = {}
+        self._doubtful_runs = OngoingRuns()
 
     def records(self) -> tuple[Departure, ...]:
         """Returns what is to be kept in the host's record."""
@@ -41,6 +48,35 @@
         departure = self._departure_by_instance.get(instance)
         return departure is not None and started_at_ms <= departure.last_start_ms
 
+    def is_alive(self, heartbeat: Heartbeat, now: float, now_ms: int) -> bool:
+        """Whether a run that isn't known to have left didn't leave unheard either.
+
+        Args:
+            heartbeat: A heartbeat of the run.
+            now: Seconds on the monotonic clock.
+            now_ms: Unix milliseconds of this host's clock.
+        """
+        if not self.may_have_left(heartbeat.instance, now_ms):
+            return True
+        return self._doubtful_runs.span_s(heartbeat, now) >= _MIN_ONGOING_S
+
+    def present_run(
+        self, instance: InstanceId, heard_start_ms: int, now_ms: int
+    ) -> Departure:
+        """Returns the departure of the run of an instance that runs now.
+
+        Messages that don't say when their run started may come from a later run than
+        the latest that was heard, as heartbeats may be late or lost.
+
+        Args:
+            instance: The instance.
+            heard_start_ms: Start of its latest run that was used, in Unix milliseconds;
+                0 if none was.
+            now_ms: Unix milliseconds of this host's clock.
+        """
+        doubtful_start_ms = self._doubtful_runs.forget(instance)
+        return Departure(instance, max(heard_start_ms, doubtful_start_ms), now_ms)
+
     def may_have_left(self, instance: InstanceId, now_ms: int) -> bool:
         """Whether a run that is first heard of now may have left before.
 
--- a/mangospoke/state/heartbeats.py
+++ b/mangospoke/state/heartbeats.py
@@ -9,9 +9,15 @@
 from enum import Enum
 from typing import Protocol
 
+from loguru import logger
+
+from mangospoke.announcements import Announcement
 from mangospoke.ids import FailureDomainId, InstanceId, ServiceName
 from mangospoke.logservice.records import Departure
 
+_DEFAULT_MAX_CONNECTIONS = 1_000_000
+"""Connection limit of an upstream, as heartbeats don't report one."""
+
 
 class HeartbeatState(Enum):
     """The state that an upstream reports of itself."""
@@ -76,6 +82,52 @@
         """
 
 
+def is_outdated(heartbeat: Heartbeat, latest: Heartbeat | None) -> bool:
+    """Whether a later heartbeat of the same run, or one of a later run, came before."""
+    if latest is None:
+        return False
+    if latest.is_same_run(heartbeat):
+        # A departure isn't undone, so none is out of date.
+        is_serving = heartbeat.state is HeartbeatState.SERVING
+        return is_serving and heartbeat.sequence < latest.sequence
+    return heartbeat.started_at_ms < latest.started_at_ms
+
+
+def make_announcement(heartbeat: Heartbeat) -> Announcement:
+    """Returns the announcement of an upstream that serves, as if it were warm."""
+    return Announcement(
+        service=heartbeat.service,
+        address=heartbeat.address,
+        slots=heartbeat.slots,
+        connections=_DEFAULT_MAX_CONNECTIONS,
+        instance=heartbeat.instance,
+        cold_left_ms=0,
+        started_at_ms=heartbeat.started_at_ms,
+    )
+
+
+class IgnoredHeartbeatLog:
+    """Writes why heartbeats are ignored, once for each run and reason in a row."""
+
+    def __init__(self) -> None:
+        """Initializes the log, in which nothing was written yet."""
+        self._latest: tuple[InstanceId, int, str] | None = None
+
+    def write(self, heartbeat: Heartbeat, reason: str) -> None:
+        """Writes a line unless it repeats the latest one."""
+        line = (heartbeat.instance, heartbeat.started_at_ms, reason)
+        if line == self._latest:
+            return
+        self._latest = line
+        logger.bind(
+            event="heartbeat_ignored",
+            instance=heartbeat.instance,
+            service=heartbeat.service,
+            started_at_ms=heartbeat.started_at_ms,
+            sequence=heartbeat.sequence,
+        ).warning("ignoring heartbeats of upstream {}: {}", heartbeat.instance, reason)
+
+
 HeartbeatCheck = Callable[[Heartbeat], str | None]
 """Returns why a heartbeat can't be of this host's upstream; None if it can."""
 
--- a/mangospoke/state/registrar.py
+++ b/mangospoke/state/registrar.py
@@ -15,7 +15,6 @@
 import trio
 from loguru import logger
 
-from mangospoke.announcements import Announcement
 from mangospoke.conf.settings import Settings
 from mangospoke.guard.guard import Guard
 from mangospoke.ids import Incarnation, InstanceId, ServiceName
@@ -26,21 +25,20 @@
     UpstreamAnnounced,
     UpstreamState,
 )
-from mangospoke.state.departure_records import DepartureRecords, present_departure
+from mangospoke.state.departure_records import DepartureRecords
 from mangospoke.state.departures import Departures
-from mangospoke.state.heartbeats import Heartbeat, HeartbeatCheck, HeartbeatState
+from mangospoke.state.heartbeats import (
+    Heartbeat,
+    HeartbeatCheck,
+    HeartbeatState,
+    IgnoredHeartbeatLog,
+    is_outdated,
+    make_announcement,
+)
 from mangospoke.state.host_directory import find_host
 from mangospoke.state.host_record_writer import HostRecordWriter
-from mangospoke.state.ongoing_runs import OngoingRuns
 from mangospoke.state.unconfirmed_heartbeats import UnconfirmedHeartbeats
 
-_DEFAULT_MAX_CONNECTIONS = 1_000_000
-"""Connection limit of an upstream, as heartbeats don't report one."""
-
-_MIN_ONGOING_S = 2.5
-"""Time for which the heartbeats of a run have to go on if it may have left already. The
-last two of a run that left may be late by the same time, and come 1.5 s apart."""
-
 
 class HostRegistrar:
     """Keeps the guard and the host's record in line with the upstream's heartbeats.
@@ -77,11 +75,10 @@
         self._guard = guard
         self._find_mismatch = find_mismatch
         self._departures = Departures()
-        self._doubtful_runs = OngoingRuns()
         self._crashes: tuple[RecordedCrash, ...] = ()
         self._took_over = trio.Event()
-        self._unconfirmed = UnconfirmedHeartbeats(time.time_ns() // 1_000_000)
-        self._logged_heartbeat: tuple[InstanceId, int, str] | None = None
+        self._unconfirmed = UnconfirmedHeartbeats(_now_ms())
+        self._ignored_log = IgnoredHeartbeatLog()
         self._latest_heartbeat: Heartbeat | None = None
         self._sequence = 0
         self._present_since_ms: int | None = incarnation
@@ -117,9 +114,7 @@
         if stored is not None:
             self._departure_records.restore(stored.departures)
             self._crashes = (*stored.crashes, *self._crashes)
-        self._replace_desired_record(
-            self._writer.record.state, self._writer.record.slots
-        )
+        self._replace_record_content()
         latest = self._latest_heartbeat
         if latest is not None and self._departures.has_left(
             latest.instance, latest.started_at_ms
@@ -140,19 +135,21 @@
             return True
         mismatch = self._find_mismatch(heartbeat)
         if mismatch is not None and (is_serving or not self._is_latest_run(heartbeat)):
-            self._log_ignored(heartbeat, mismatch)
+            self._ignored_log.write(heartbeat, mismatch)
             return False
         if self._departures.has_left(heartbeat.instance, heartbeat.started_at_ms):
             if is_serving:
-                self._log_ignored(heartbeat, "this run of the upstream has left")
+                self._ignored_log.write(heartbeat, "this run of the upstream has left")
             return not is_serving
-        if is_serving and not self._is_alive(heartbeat):
+        if is_serving and not self._departures.is_alive(
+            heartbeat, trio.current_time(), _now_ms()
+        ):
             reason = "it isn't known yet whether this run of the upstream has left"
-            self._log_ignored(heartbeat, reason)
+            self._ignored_log.write(heartbeat, reason)
             return False
         if not is_serving:
             self._add_departure(heartbeat.departure())
-        if self._is_outdated(heartbeat):
+        if is_outdated(heartbeat, self._latest_heartbeat):
             return False
         before, self._latest_heartbeat = self._latest_heartbeat, heartbeat
         if is_serving:
@@ -173,31 +170,10 @@
             heartbeat, trio.current_time()
         )
 
-    def _is_alive(self, heartbeat: Heartbeat) -> bool:
-        """Whether a run isn't one that left before it was heard of."""
-        now_ms = time.time_ns() // 1_000_000
-        if not self._departures.may_have_left(heartbeat.instance, now_ms):
-            return True
-        span_s = self._doubtful_runs.span_s(heartbeat, trio.current_time())
-        return span_s >= _MIN_ONGOING_S
-
     def _is_latest_run(self, heartbeat: Heartbeat) -> bool:
         latest = self._latest_heartbeat
         return latest is not None and latest.is_same_run(heartbeat)
 
-    def _log_ignored(self, heartbeat: Heartbeat, reason: str) -> None:
-        line = (heartbeat.instance, heartbeat.started_at_ms, reason)
-        if line == self._logged_heartbeat:
-            return
-        self._logged_heartbeat = line
-        logger.bind(
-            event="heartbeat_ignored",
-            instance=heartbeat.instance,
-            service=heartbeat.service,
-            started_at_ms=heartbeat.started_at_ms,
-            sequence=heartbeat.sequence,
-        ).warning("ignoring heartbeats of upstream {}: {}", heartbeat.instance, reason)
-
     def handle_deregistration(self, instance: InstanceId) -> Departure:
         """Processes that a process run of the upstream has left.
 
@@ -215,17 +191,18 @@
                     latest, state=HeartbeatState.LEAVING, sequence=latest.sequence + 1
                 )
             )
-        departure = present_departure(instance, self._forget_heard_runs(instance))
+        departure = self._present_departure(instance)
         self._add_departure(departure)
         return self._departure_records.make_deregistered(departure)
 
-    def _forget_heard_runs(self, instance: InstanceId) -> int:
-        """Returns the latest start of an instance that was heard; 0 if none was."""
-        heard_start_ms = self._doubtful_runs.forget(instance)
+    def _present_departure(
+        self, instance: InstanceId, heard_start_ms: int = 0
+    ) -> Departure:
+        """Returns the departure that a message without a start stands for."""
         latest = self._latest_heartbeat
         if latest is not None and latest.instance == instance:
             heard_start_ms = max(heard_start_ms, latest.started_at_ms)
-        return heard_start_ms
+        return self._departures.present_run(instance, heard_start_ms, _now_ms())
 
     def _add_departure(self, departure: Departure) -> None:
         if not self._departures.add(departure):
@@ -236,29 +213,10 @@
             last_start_ms=departure.last_start_ms,
             unheard_until_ms=departure.unheard_until_ms,
         ).info("upstream {} has left or is about to", departure.instance)
-        record = self._writer.record
-        self._replace_desired_record(record.state, record.slots)
-
-    def _is_outdated(self, heartbeat: Heartbeat) -> bool:
-        latest = self._latest_heartbeat
-        if latest is None:
-            return False
-        if latest.is_same_run(heartbeat):
-            # A departure isn't undone, so none is out of date.
-            is_serving = heartbeat.state is HeartbeatState.SERVING
-            return is_serving and heartbeat.sequence < latest.sequence
-        return heartbeat.started_at_ms < latest.started_at_ms
+        self._replace_record_content()
 
     def _attach(self, heartbeat: Heartbeat) -> None:
-        announcement = Announcement(
-            service=heartbeat.service,
-            address=heartbeat.address,
-            slots=heartbeat.slots,
-            connections=_DEFAULT_MAX_CONNECTIONS,
-            instance=heartbeat.instance,
-            cold_left_ms=0,
-            started_at_ms=heartbeat.started_at_ms,
-        )
+        announcement = make_announcement(heartbeat)
         known = self._guard.announcement
         is_known = (
             known is not None
@@ -301,11 +259,10 @@
         """
         announcement = self._guard.announcement
         if announcement is not None and announcement.instance is not None:
-            heard_start_ms = self._forget_heard_runs(announcement.instance)
-            heard_start_ms = max(heard_start_ms, announcement.started_at_ms)
-            self._add_departure(
-                present_departure(announcement.instance, heard_start_ms)
+            departure = self._present_departure(
+                announcement.instance, announcement.started_at_ms
             )
+            self._add_departure(departure)
         self._set_desired_state(UpstreamState.DRAINING, self._writer.record.slots)
 
     def record_crashes(self, crashes: tuple[RecordedCrash, ...]) -> None:
@@ -313,9 +270,7 @@
         if crashes == self._crashes:
             return
         self._crashes = crashes
-        self._replace_desired_record(
-            self._writer.record.state, self._writer.record.slots
-        )
+        self._replace_record_content()
 
     def stop(self) -> None:
         """Takes the host out of routing because its daemon is stopping."""
@@ -329,12 +284,16 @@
             return
         self._replace_desired_record(state, slots)
 
+    def _replace_record_content(self) -> None:
+        record = self._writer.record
+        self._replace_desired_record(record.state, record.slots)
+
     def _replace_desired_record(self, state: UpstreamState, slots: int) -> None:
         self._sequence += 1
         if state is UpstreamState.DRAINING:
             self._present_since_ms = None
         elif self._present_since_ms is None:
-            self._present_since_ms = time.time_ns() // 1_000_000
+            self._present_since_ms = _now_ms()
         self._writer.replace(self._make_record(state, slots))
 
     def _make_record(self, state: UpstreamState, slots: int) -> UpstreamAnnounced:
@@ -384,3 +343,8 @@
     async def wait_departures_recorded(self) -> None:
         """Waits until all departures are recorded; not at all if they are."""
         await self._departure_records.wait_all_recorded()
+
+
+def _now_ms() -> int:
+    """Returns Unix milliseconds of this host's clock."""
+    return time.time_ns() // 1_000_000
--- a/tests/http/test_cut_heads.py
+++ b/tests/http/test_cut_heads.py
@@ -47,13 +47,8 @@
 }
 
 
-class CuttingUpstream:
-    """Sends the first `cut_at` bytes of a response, and closes or resets."""
-
-    def __init__(self, response):
-        self.response = response
-        self.cut_at = 0
-        self.resets = False
+class FaultyUpstream:
+    """An upstream whose subclass serves its connections."""
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
@@ -61,6 +56,15 @@
         task_status.started(f"127.0.0.1:{port}")
         await trio.serve_listeners(self._serve, listeners)
 
+
+class CuttingUpstream(FaultyUpstream):
+    """Sends the first `cut_at` bytes of a response, and closes or resets."""
+
+    def __init__(self, response):
+        self.response = response
+        self.cut_at = 0
+        self.resets = False
+
     async def _serve(self, stream):
         async with stream:
             received = b""
@@ -93,7 +97,7 @@
     assert isinstance(await send(pool), Answered)
 
 
-class ResettingUpstream:
+class ResettingUpstream(FaultyUpstream):
     """Answers an upload at once, without a length, and resets while it is sent.
 
     Attributes:
@@ -107,12 +111,6 @@
         self.reset_after_s = 0.0
         self.lingers = False
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        port = listeners[0].socket.getsockname()[1]
-        task_status.started(f"127.0.0.1:{port}")
-        await trio.serve_listeners(self._serve, listeners)
-
     async def _serve(self, stream):
         await stream.receive_some(1_000)
         await stream.send_all(UNTIL_THE_END + b"x" * self.body_bytes)
