--- a/mangospoke/state/follow_responder.py
+++ b/mangospoke/state/follow_responder.py
@@ -22,7 +22,7 @@
 from mangospoke.state.freshness import Freshness, read_boot_clock
 from mangospoke.state.host_directory import HostDirectory
 
-_MIN_PROOF_STEP_S = 0.1
+_MIN_PROOF_STEP_S = 0.3
 """A proof that is later by less than this isn't passed on by itself."""
 
 
