--- a/mangospoke/state/peer_following.py
+++ b/mangospoke/state/peer_following.py
@@ -136,12 +136,12 @@
         """Whether this daemon reads the hosts' records from the log service now."""
         if self._topology.is_reader() or self._read_clock() < self._in_place_until:
             return True
-        max_age_s = self._times.max_hosts_proof_age_s(*self._rank_of_count())
+        max_age_s = self._times.max_hosts_proof_age_s(*self._rank_and_count())
         return self._hosts_proof_age_s() > max_age_s
 
     def seconds_until_reads(self) -> float:
         """Returns the time until it reads the configuration if it hears nothing."""
-        max_age_s = self._times.max_proof_age_s(*self._rank_of_count())
+        max_age_s = self._times.max_proof_age_s(*self._rank_and_count())
         return max_age_s - self._proof_age_s()
 
     def handle_log_answer(self) -> None:
@@ -184,7 +184,7 @@
         since = max(self._directory.freshness.confirmed_at, self._quiet_until)
         return self._read_clock() - since
 
-    def _rank_of_count(self) -> tuple[int, int]:
+    def _rank_and_count(self) -> tuple[int, int]:
         """Returns this daemon's rank among those that aren't readers, and their number.
 
         A reader's rank counts as the first one.
--- a/mangospoke/state/reading_in_place.py
+++ b/mangospoke/state/reading_in_place.py
@@ -69,8 +69,9 @@
         """Returns the age for the proof that the list of hosts is complete.
 
         Args:
-            rank: As above.
-            rank_count: As above.
+            rank: The daemon's rank among those of its failure domain that aren't
+                readers, from 0.
+            rank_count: Number of these daemons.
         """
         if not _is_prompt(rank, rank_count):
             return _MIN_LATE_HOSTS_AGE_S + self._late_age_s - _MIN_LATE_AGE_S
--- a/tests/state/test_peer_following.py
+++ b/tests/state/test_peer_following.py
@@ -235,8 +235,8 @@
     calls_by_host = dict(fleet.log.calls_by_host)
     fleet.log.is_down_for = lambda host_id: False
     await trio.sleep(3)
-    # Refused calls follow each other after 1, 2 and again 2 s. In 10 s, with proofs that
-    # were a second old before: six for the configuration, and five for the hosts.
+    # Refused calls come after 1, 2 and again 2 s. In 10 s, with proofs that
+    # were a second old before, six are for the configuration, and five for the hosts.
     for host_id in silent - readers:
         assert calls_by_host.get(host_id, 0) <= 6 + 5
     # The users' log services take 80 reads a second and host, and more.
