--- a/tests/state/test_peer_following.py
+++ b/tests/state/test_peer_following.py
@@ -322,7 +322,7 @@
     await trio.sleep(START_S)
     fleet.log.is_down_for = lambda host_id: host_id[0] == "a"
     fleet.publish(b"2")
-    await trio.sleep(3)
+    await trio.sleep(MAX_APPLY_S)
     assert fleet.versions() == {2}
     for _ in range(20):
         await trio.sleep(0.5)
@@ -398,7 +398,7 @@
     fleet.log.restore({"op": old["op"][:1], "hosts": list(old["hosts"])})
     await trio.sleep(0.5)
     fleet.publish(b"2/other content")
-    await trio.sleep(3)
+    await trio.sleep(MAX_APPLY_S)
     contents = {
         host.configuration._active_content for host in fleet.hosts_by_id.values()
     }
